Give cold servers to the fleet in turns by rank, not by stores that lapse unseen

At fault: Gateway::fill_cold_stores. Each of 100 gateways saved its even hundredth of what a cold server can take, so a store held one request after some 70 s, for the third of a second before it lapsed; and Gateway::pick rated a cold server by its slower pace, so that even an open store was seldom used.

Now a cold server's allowance is cut into turns of half a window. Who may send in a turn follows from the rank and a draw from server and turn that all gateways make alike, so the sum is bounded by count, not by chance, and a turn that serves in time is taken ahead of warm servers. For that the node names servers by a hash of their uid: the same id at every node.

Ruled out: queues at the cold servers (no attempt to them timed out), the list (all nodes knew all 60).

--- a/src/bin/ivygate/driver.rs
+++ b/src/bin/ivygate/driver.rs
@@ -131,7 +131,6 @@
     timer_number: u64,
     servers: HashMap<ServerId, Listed>,
     names: HashMap<String, ServerId>,
-    next_server: ServerId,
     events: VecDeque<Event>,
     actions: Vec<Action>,
 }
@@ -155,7 +154,6 @@
             timer_number: 0,
             servers: HashMap::new(),
             names: HashMap::new(),
-            next_server: 0,
             events: VecDeque::new(),
             actions: Vec::new(),
         };
@@ -246,10 +244,7 @@
             let server = match known {
                 Some(server) => server,
                 None if gone => continue,
-                None => {
-                    state.next_server += 1;
-                    state.next_server
-                }
+                None => state.new_id(&target.uid),
             };
             members.push(Member {
                 server,
@@ -452,6 +447,16 @@
 }
 
 impl State {
+    /// An id for a server that has none yet; another than its name's own only where two names collide, which
+    /// happens once in some millions.
+    fn new_id(&self, uid: &str) -> ServerId {
+        let mut id = id_of_name(uid);
+        while self.servers.contains_key(&id) {
+            id = id.wrapping_add(1);
+        }
+        id
+    }
+
     /// An attempt that has not ended.
     fn attempt(&mut self, id: &RequestId, number: u32) -> Option<&mut Attempt> {
         self.requests.get_mut(id)?.attempts.get_mut(number as usize).filter(|a| !a.ended)
@@ -479,6 +484,25 @@
     }
 }
 
+/// The id of a server by its name alone, so that it is the same at every node however their lists came: the
+/// FNV-1a hash, which is the same in every process, as those of the standard library are not.
+fn id_of_name(uid: &str) -> ServerId {
+    uid.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+}
+
 fn micros(at: Millis) -> u64 {
     (at.max(0.0) * 1000.0) as u64
 }
+
+#[cfg(test)]
+mod tests {
+    use super::id_of_name;
+
+    #[test]
+    fn a_server_has_the_same_id_at_every_node() {
+        // The published test vectors of the hash.
+        assert_eq!(id_of_name(""), 0x811c_9dc5);
+        assert_eq!(id_of_name("a"), 0xe40c_292c);
+        assert_eq!(id_of_name("foobar"), 0xbf9c_f968);
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -90,8 +90,9 @@
 const BLOCK_FULL: f64 = 0.12;
 /// Part of the work that a cold server may be sent before it falls over which is used: work varies.
 const COLD_SAFETY: f64 = 0.75;
-/// Part of a window's allowance for a cold server that may be sent at once; the window itself adds one more.
-const COLD_BURST: f64 = 0.33;
+/// Length of a turn at a cold server, in windows: long enough for a gateway of a large fleet to have something
+/// to send in it, short enough that a window holds little more than its own turns.
+const COLD_TURN: f64 = 0.5;
 /// Period of housekeeping, in milliseconds.
 const TICK: Millis = 20.0;
 /// Shortest time between two log lines, in milliseconds.
@@ -418,23 +419,18 @@
         from + (1.0 - from) * age / self.settings.warm_after
     }
 
-    /// Rule four, by this gateway alone: fills the stores of work that it may send to cold servers, its even
-    /// part of what they can take, each taken to serve one request at a time, as every server can at least.
-    fn fill_cold_stores(&mut self, work: Millis) {
-        for id in self.servers.keys().copied().collect::<Vec<_>>() {
-            let server = &self.servers[&id];
-            let rate = COLD_SAFETY * self.settings.fall_multiple * self.warmth(server)
-                / f64::from(self.settings.gateways);
-            let burst = COLD_BURST * rate * self.settings.fall_window;
-            // A store starts anywhere: gateways told together must not all send their first at once.
-            let start = if server.cold_store.is_none() { self.rng.f64() * (burst + work) } else { 0.0 };
-            let Some(server) = self.servers.get_mut(&id) else { continue };
-            let store = server.cold_store.unwrap_or(start) + rate * (self.now - server.cold_at).max(0.0);
-            // What fills to less than a request in a window lapses unless it is used within one: the full
-            // stores of many gateways would else add up, and be spent at once when traffic gathers.
-            let store = if burst < work { store % (burst + work) } else { store.min(burst) };
-            (server.cold_store, server.cold_at) = (Some(store), self.now);
-        }
+    /// Rule four, by this gateway alone: the turn at a cold server that is on now, and how many requests of this
+    /// work this gateway may send in it. Each turn has room for so much of what the server can take, it being
+    /// taken to serve one request at a time, as every server can at least. Gateways take it by their ranks,
+    /// from one that server and turn draw: all draw the same, so that together they never send more, and
+    /// few turns are lost to gateways with nothing to send.
+    fn cold_turn(&self, id: ServerId, server: &Server, work: Millis) -> (u64, u32) {
+        let (gateways, length) = (f64::from(self.settings.gateways), COLD_TURN * self.settings.fall_window);
+        let turn = ((self.now - server.started.unwrap_or(self.now)) / length).max(0.0) as u64;
+        let room = COLD_SAFETY * self.settings.fall_multiple * self.warmth(server) * length;
+        let first = gateways * fastrand::Rng::with_seed(turn << 32 | u64::from(id)).f64();
+        let place = (f64::from(self.settings.rank) + first) % gateways;
+        (turn, ((room / work.max(self.mean_work) - place) / gateways).ceil().max(0.0) as u32)
     }
 
     /// Expected work of a request on an idle server of the fleet.
@@ -460,7 +456,6 @@
     /// `None` if no server may be used.
     fn pick(&mut self, request: &Request) -> Option<(ServerId, Millis, Millis)> {
         let work = self.work(request.class, request.units);
-        self.fill_cold_stores(work);
         let class = &self.settings.classes[request.class];
         let zone_time = ZONE_TIME * self.settings.cross_zone_price * class.aim;
         let out: usize = self.servers.values().map(|s| s.out.len()).sum();
@@ -475,12 +470,17 @@
             }
             let blocked = self.now < server.blocked_until;
             healthy |= !blocked && !server.on_trial;
-            if self.warmth(server) < 1.0 && server.cold_store.is_some_and(|s| s < work) {
-                continue;
+            let warmth = self.warmth(server);
+            let cold = warmth < 1.0;
+            if cold {
+                let (turn, room) = self.cold_turn(*id, server, work);
+                if room <= if turn == server.turn.0 { server.turn.1 } else { 0 } {
+                    continue;
+                }
             }
             let tried = request.attempts.iter().any(|a| a.server == *id);
-            let crowd = self.crowd(server, unreported);
-            let pace = server.pace.max(0.7 / self.warmth(server));
+            let crowd = self.crowd(server, unreported * warmth);
+            let pace = server.pace.max(0.7 / warmth);
             // A silent server is at least as slow as its silence is long.
             let silence = server.out.front().map_or(0.0, |o| self.now - o.2.max(server.answered_at));
             let wait = work * pace;
@@ -502,7 +502,8 @@
             let zone = if server.zone == self.zone { 0.0 } else { zone_time };
             let (failing, at) = self.zones.get(&server.zone).copied().unwrap_or((0.0, self.now));
             let zone = zone + class.aim * failing * (-(self.now - at) / (BLOCK_LAST * aim)).exp();
-            let cost = (wait + zone) * (1.0 + SCATTER * self.rng.f64());
+            // A turn lapses, and work warms a server: it is taken whenever it serves in time.
+            let cost = if cold { zone } else { wait + zone } * (1.0 + SCATTER * self.rng.f64());
             if best.is_none_or(|(c, ..)| cost < c) {
                 best = Some((cost, *id, wait, queue));
             }
@@ -668,10 +669,12 @@
         let (plan, customer) = (request.plan, request.customer.clone());
         let number = request.attempts.len() as u32;
         let unreported = self.unreported();
-        let crowd = self.servers.get(&server_id).map_or(0.0, |s| self.crowd(s, unreported));
+        let (crowd, turn) = self.servers.get(&server_id).map_or((0.0, 0), |s| {
+            (self.crowd(s, unreported * self.warmth(s)), self.cold_turn(server_id, s, work).0)
+        });
         let Some(server) = self.servers.get_mut(&server_id) else { return };
         server.out.push_back((id.clone(), number, now));
-        server.cold_store = server.cold_store.map(|store| store - work);
+        server.turn = if server.turn.0 == turn { (turn, server.turn.1 + 1) } else { (turn, 1) };
         self.plans[plan].out.add(&customer, 1.0);
         if let Some(request) = self.requests.get_mut(id) {
             let state = AttemptState::Out;
--- a/src/state.rs
+++ b/src/state.rs
@@ -91,9 +91,8 @@
     pub on_trial: bool,
     /// A probe is on its way.
     pub probing: bool,
-    /// Work that may still be sent to it while it is cold; `None` before the first look.
-    pub cold_store: Option<Millis>,
-    pub cold_at: Millis,
+    /// The turn, counted from its start, in which this gateway last sent to it, and how many requests.
+    pub turn: (u64, u32),
 }
 
 impl Server {
@@ -116,8 +115,7 @@
             blocked_until: f64::NEG_INFINITY,
             on_trial: false,
             probing: false,
-            cold_store: None,
-            cold_at: now,
+            turn: (0, 0),
         }
     }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -903,3 +903,63 @@
     assert!((600.0..1_000.0).contains(&second), "{second}");
     assert!(ticks <= 16, "{ticks} ticks in 10 s");
 }
+
+/// When the gateways of a large fleet, each with a request every 200 ms, send to a server that has just
+/// started, beside warm ones that have room.
+fn sends_to_cold(gateways: u32) -> Vec<f64> {
+    let mut settings = settings();
+    settings.gateways = gateways;
+    settings.plans[0].rate = 1_000_000.0;
+    settings.plans[0].burst = 1_000_000.0;
+    let mut cold = member(1, 0, ServerState::Ready);
+    cold.started = Some(0.0);
+    let warm = (2..=6).map(|id| member(id, 0, ServerState::Ready));
+    let members: Arc<[Member]> = std::iter::once(cold).chain(warm).collect();
+    let mut sends = Vec::new();
+    for rank in 0..gateways {
+        let mut own = settings.clone();
+        own.rank = rank;
+        let mut gateway = Gateway::new(own, u64::from(rank)).expect("settings are sound");
+        let mut actions = Vec::new();
+        gateway.handle(0.0, Event::List { kind: ListKind::Full, members: members.clone() }, &mut actions);
+        let mut now = f64::from(rank * 7 % 200);
+        while now < 4_000.0 {
+            actions.clear();
+            let request = format!("g{now}");
+            gateway.handle(now, Event::Arrival(arrival(&request, "a", now, 1.0, 1)), &mut actions);
+            let server = sent_to(&actions).expect("there is room");
+            if server == 1 {
+                sends.push(now);
+            }
+            let done = Done {
+                request: request.as_str().into(),
+                attempt: 0,
+                server,
+                outcome: Outcome::Ok,
+                elapsed: 100.0,
+                closed: true,
+                use_percent: None,
+                load: Load::default(),
+            };
+            gateway.handle(now, Event::Done(done), &mut actions);
+            now += 200.0;
+        }
+    }
+    sends.sort_by(f64::total_cmp);
+    sends
+}
+
+#[test]
+fn a_large_fleet_uses_what_a_cold_server_can_take() {
+    for gateways in [10, 30, 100] {
+        let sends = sends_to_cold(gateways);
+        // Three quarters of twice what it can do, one request of 100 ms at a time, at a mean warmth of 0.3.
+        let fair = 4_000.0 / 100.0 * 0.75 * 2.0 * 0.3;
+        assert!(sends.len() as f64 >= 0.7 * fair, "{gateways} gateways: {} of some {fair}", sends.len());
+        // The window's own turns and one more of half its length, at the warmth of the end.
+        let most = 1_000.0 / 100.0 * 2.0 * 0.42 * 0.75 * 1.5 + 1.0;
+        let in_window = |from: &f64| sends.iter().filter(|t| (*from..from + 1_000.0).contains(t)).count();
+        let worst = sends.iter().map(in_window).max().unwrap_or(0);
+        assert!(worst as f64 <= most, "{gateways} gateways: {worst} in a window");
+    }
+}
