Spread first calls to discovery over the fleet and back off with jitter by its size

After the crash the 70 restarted nodes also fetch the whole list at every try (274 fetches in 2 s), none ever succeeds, and all 100 go on with the list of 60 servers from before the release: 867 refused connects.

Now backoff.rs draws all waits: first calls are spread over 60 ms a node, failures double the wait, with jitter, up to 100 ms a node and no further than the time after which a node counts as told; both only where the settings say that lists must be asked for. A node that holds a list asks for its changes only, and a watch counts as a success from its second line on.

Ruled out: time-outs on the way (503 comes within 3 ms), the agent being down (others are served meanwhile).

--- /dev/null
+++ b/src/bin/ivygate/backoff.rs
@@ -0,0 +1,110 @@
+//! When to call discovery: jitter on the first call, exponential backoff with jitter after failures.
+
+use crate::clock::millis;
+use ivygate::Asking;
+use std::time::Duration;
+
+/// First wait after a failure; doubles up to the last.
+const FIRST: Duration = Duration::from_millis(50);
+/// The last where calls are free, or few nodes make them.
+const LAST_LEAST: Duration = Duration::from_secs(1);
+/// What each node adds to the last wait where all call one discovery: even if none is answered, all together
+/// then call some ten times a second, which is less than a list service is built for.
+const LAST_PER_NODE: Duration = Duration::from_millis(100);
+/// What each node adds to the time over which first calls are spread: a fleet that starts in one moment would
+/// else fill the line at once, and a call that has waited too long in it has cost its turn all the same.
+const SPREAD_PER_NODE: Duration = Duration::from_millis(60);
+
+/// The waits between calls, drawn anew for each so that nodes which fail together do not call together again.
+pub struct Pace {
+    rng: fastrand::Rng,
+    wait: Duration,
+    last: Duration,
+    spread: Duration,
+}
+
+impl Pace {
+    /// The pace of one node, by what the settings tell of the fleet.
+    pub fn new(asking: Asking, seed: u64) -> Self {
+        // One node alone has nobody to make way for.
+        let others = asking.callers.map_or(0, |nodes| nodes.saturating_sub(1));
+        // Past this a node counts as told, whether it asked or not.
+        let within = asking.within.map_or(Duration::MAX, millis);
+        Self {
+            // The module draws from the seed as well; what it draws must not be drawn again here.
+            rng: fastrand::Rng::with_seed(seed).fork(),
+            wait: FIRST,
+            last: (LAST_PER_NODE * others).min(within).max(LAST_LEAST),
+            spread: (SPREAD_PER_NODE * others).min(within),
+        }
+    }
+
+    /// The wait before the first call of a node that holds a list.
+    pub fn first(&mut self) -> Duration {
+        self.spread.mul_f64(self.rng.f64())
+    }
+
+    /// The wait after a call that failed: between half of the present one and all of it.
+    pub fn failed(&mut self) -> Duration {
+        let wait = self.wait.mul_f64(0.5 + 0.5 * self.rng.f64());
+        self.wait = (self.wait * 2).min(self.last);
+        wait
+    }
+
+    /// A call succeeded: the next failure is the first again.
+    pub fn succeeded(&mut self) {
+        self.wait = FIRST;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn fleet(nodes: u32) -> Vec<Pace> {
+        let asking = Asking { callers: Some(nodes), within: Some(10_000.0) };
+        (0..nodes).map(|seed| Pace::new(asking, seed.into())).collect()
+    }
+
+    /// The most calls that begin within 100 ms of each other.
+    fn crowd(mut calls: Vec<Duration>) -> usize {
+        calls.sort_unstable();
+        let near = |at: &Duration| calls.iter().filter(|t| (*at..*at + millis(100.0)).contains(t)).count();
+        calls.iter().map(near).max().unwrap_or(0)
+    }
+
+    #[test]
+    fn a_large_fleet_that_starts_together_does_not_call_together() {
+        assert!(crowd(fleet(100).iter_mut().map(Pace::first).collect()) <= 10);
+        assert!(fleet(3).iter_mut().all(|pace| pace.first() < Duration::from_millis(200)));
+        assert_eq!(fleet(1)[0].first(), Duration::ZERO);
+    }
+
+    #[test]
+    fn a_large_fleet_whose_calls_all_fail_calls_less_and_less_and_never_in_step() {
+        let mut calls = Vec::new();
+        for pace in &mut fleet(100) {
+            let mut now = Duration::ZERO;
+            while now < Duration::from_secs(60) {
+                now += pace.failed();
+                calls.push(now);
+            }
+        }
+        // Once all have backed off.
+        calls.retain(|at| (30..60).contains(&at.as_secs()));
+        assert!((300..=450).contains(&calls.len()), "{} calls in 30 s", calls.len());
+        assert!(crowd(calls) <= 8);
+    }
+
+    #[test]
+    fn where_calls_are_free_the_wait_stays_short_and_success_makes_it_the_first_again() {
+        let mut pace = Pace::new(Asking { callers: None, within: None }, 7);
+        assert_eq!(pace.first(), Duration::ZERO);
+        for _ in 0..20 {
+            assert!(pace.failed() <= LAST_LEAST);
+        }
+        assert!(pace.failed() >= LAST_LEAST / 2);
+        pace.succeeded();
+        assert!(pace.failed() <= FIRST);
+    }
+}
--- a/src/bin/ivygate/config.rs
+++ b/src/bin/ivygate/config.rs
@@ -1,7 +1,7 @@
 //! What a node is told at its start.
 
 use crate::discovery::Listing;
-use ivygate::{Bounds, Links, Settings, Setup};
+use ivygate::{Asking, Bounds, Links, Settings, Setup};
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
@@ -22,6 +22,8 @@
     pub settings: Settings,
     /// What the settings tell of connections.
     pub links: Links,
+    /// What the settings tell of calls to discovery.
+    pub asking: Asking,
     /// What requests may say of themselves.
     pub bounds: Bounds,
 }
@@ -93,7 +95,7 @@
                 file.limits.sockets
             ));
         }
-        let (links, bounds) = (file.settings.links(), file.settings.bounds());
+        let (links, asking, bounds) = (file.settings.links(), file.settings.asking(), file.settings.bounds());
         Ok(Self {
             listen: file.listen,
             discovery: file.discovery,
@@ -102,6 +104,7 @@
             known: file.known,
             settings: file.settings.settings().map_err(|e| format!("settings: {e}"))?,
             links,
+            asking,
             bounds,
         })
     }
--- a/src/bin/ivygate/discovery.rs
+++ b/src/bin/ivygate/discovery.rs
@@ -1,5 +1,6 @@
 //! The list of app servers: starts from what is known, lists, watches, and comes back after failures.
 
+use crate::backoff::Pace;
 use crate::driver::Driver;
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty};
@@ -72,8 +73,6 @@
 const ANSWER: Duration = Duration::from_secs(3);
 /// A watch has an empty line every 2 s; one that is silent for this long is dead without having said so.
 const SILENCE: Duration = Duration::from_secs(5);
-/// First wait after a failure; doubles up to the last.
-const BACK_OFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 /// Longest list or line that is believed; guards the memory against a peer that never ends its line.
 const LIST_MOST: usize = 4 << 20;
 
@@ -86,15 +85,20 @@
 }
 
 /// Keeps the driver informed for as long as the node runs, by the agent that was named last.
-pub async fn follow(driver: Rc<Driver>, mut agents: watch::Receiver<SocketAddr>, known: Option<u64>) {
+pub async fn follow(
+    driver: Rc<Driver>,
+    mut agents: watch::Receiver<SocketAddr>,
+    known: Option<u64>,
+    mut pace: Pace,
+) {
     let mut rev = known;
     loop {
         let agent = *agents.borrow_and_update();
         tokio::select! {
-            () = follow_one(&driver, agent, rev) => {}
+            () = follow_one(&driver, agent, rev, &mut pace) => {}
             changed = agents.changed() => if changed.is_err() {
                 // None will be named any more, so the last one is followed to the end.
-                follow_one(&driver, agent, None).await;
+                follow_one(&driver, agent, None, &mut pace).await;
             }
         }
         // Another agent counts its versions anew. Until its list has come the old one holds.
@@ -102,27 +106,33 @@
     }
 }
 
-async fn follow_one(driver: &Rc<Driver>, agent: SocketAddr, mut rev: Option<u64>) {
-    let mut whole = true;
-    let mut wait = BACK_OFF.0;
+async fn follow_one(driver: &Rc<Driver>, agent: SocketAddr, mut rev: Option<u64>, pace: &mut Pace) {
+    // A watch from the version held brings all that has changed since: only who holds none, or has read what
+    // cannot be read, needs the whole list, the dearer call where calls are counted by lines.
+    let mut whole = rev.is_none();
+    if !whole {
+        sleep(pace.first()).await;
+    }
     loop {
         if whole {
             if let Ok(listing) = list(agent).await {
                 rev = Some(listing.rev);
                 driver.list(listing);
                 whole = false;
-                wait = BACK_OFF.0;
+                pace.succeeded();
             }
         }
         // A watch brings the list too where fetching it failed, so it is tried all the same.
-        let mut heard = false;
-        if let Err(Trouble::Unreadable) = stream(agent, driver, &mut rev, &mut heard).await {
+        let mut lines = 0;
+        if let Err(Trouble::Unreadable) = stream(agent, driver, &mut rev, &mut lines).await {
             whole = true;
         }
-        // Only a watch that has brought a line counts as a success: an agent that accepts and hangs up,
-        // or answers nonsense, is not called in a tight loop.
-        wait = if heard { BACK_OFF.0 } else { (wait * 2).min(BACK_OFF.1) };
-        sleep(wait).await;
+        // Only a watch that has brought more than its first line counts as a success: discovery that accepts
+        // and hangs up, as it does when its line is too long, or answers nonsense, is not called in a tight loop.
+        if lines > 1 {
+            pace.succeeded();
+        }
+        sleep(pace.failed()).await;
     }
 }
 
@@ -166,7 +176,7 @@
     agent: SocketAddr,
     driver: &Rc<Driver>,
     rev: &mut Option<u64>,
-    heard: &mut bool,
+    lines: &mut u32,
 ) -> Result<(), Trouble> {
     let path = format!("/discovery/hosts?stream=1&index={}", rev.unwrap_or(0));
     let mut call = call(agent, &path).await.ok_or(Trouble::Lost)?;
@@ -186,7 +196,7 @@
                 *rev = Some(listing.rev);
                 driver.list(listing);
             }
-            *heard = true;
+            *lines = lines.saturating_add(1);
         }
         if text.len() > LIST_MOST {
             return Err(Trouble::Unreadable);
--- a/src/bin/ivygate/main.rs
+++ b/src/bin/ivygate/main.rs
@@ -1,6 +1,7 @@
 //! One edge node on real sockets: clients on one side, app servers on the other, and between them the
 //! decisions of the library.
 
+mod backoff;
 mod clock;
 mod config;
 mod discovery;
@@ -9,6 +10,7 @@
 mod server;
 mod upstream;
 
+use backoff::Pace;
 use clock::Clock;
 use config::Config;
 use driver::Driver;
@@ -68,7 +70,8 @@
     eprintln!("ivygate: listening on {}", listener.local_addr()?);
     tokio::task::spawn_local(driver.clone().run_timers());
     let (agent, agents) = watch::channel(config.discovery);
-    tokio::task::spawn_local(discovery::follow(driver.clone(), agents, rev));
+    let pace = Pace::new(config.asking, config.seed);
+    tokio::task::spawn_local(discovery::follow(driver.clone(), agents, rev, pace));
     tokio::task::spawn_local(reload_on(hangups, agent));
     let server = Server::new(driver, reader, sockets - upstreams);
     let accepting = tokio::task::spawn_local(server.clone().accept(listener));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,5 +12,5 @@
 pub use interface::*;
 pub use rules::Gateway;
 pub use settings::SettingsError;
-pub use setup::{Bounds, Links, Setup};
+pub use setup::{Asking, Bounds, Links, Setup};
 pub use sketch::CountMinSketch;
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -95,6 +95,8 @@
     warm_after_ms: f64,
     fall_multiple: f64,
     overload_for_ms: f64,
+    #[serde(default)]
+    ask_every_ms: f64,
 }
 
 /// What the settings tell of connections to app servers; a decision needs none of it.
@@ -106,6 +108,15 @@
     pub keepalive: Option<Millis>,
 }
 
+/// What the settings tell of calls to discovery; a decision needs none of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Asking {
+    /// Number of nodes that call the same discovery; `None` where changes come unasked and calls are free.
+    pub callers: Option<u32>,
+    /// A node that has not asked for this long counts as told; `None` where the settings do not tell.
+    pub within: Option<Millis>,
+}
+
 /// Bounds on what a request may say of itself.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -135,6 +146,14 @@
         }
     }
 
+    /// The part about calls to discovery.
+    pub fn asking(&self) -> Asking {
+        Asking {
+            callers: (self.discovery == "subscribe").then_some(self.balancers),
+            within: Some(self.rules.ask_every_ms).filter(|ms| ms.is_finite() && *ms > 0.0),
+        }
+    }
+
     /// What a request may say of itself.
     pub fn bounds(&self) -> Bounds {
         let deadlines = self.classes.iter().map(|c| c.deadline_ms);
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -278,6 +278,19 @@
     assert_eq!(apps[0].seen(), before);
 }
 
+#[test]
+fn a_node_that_holds_a_list_asks_for_its_changes_only() {
+    let old = App::start(|_| Reply::ok("old"));
+    let new = App::start(|_| Reply::ok("new"));
+    let list = listing(1, true, &[serving("a", &old, "north")]);
+    let discovery = Discovery::start(list.clone());
+    let node = Node::start(&config(discovery.address, &list, SETTINGS, 1024));
+    let gone = target("a", old.address, "north", "DELETED");
+    discovery.push(&listing(2, false, &[gone, serving("b", &new, "north")]));
+    until("the new server is used", || node.ask(&request("read", "r")).body == b"new");
+    assert_eq!(discovery.lists.load(Ordering::SeqCst), 0);
+}
+
 #[test]
 fn after_a_bad_line_the_list_is_fetched_anew() {
     let old = App::start(|_| Reply::ok("old"));
