Start parts of ceilings full while no answer has told of the meter

At fault: Gateway::customer, which lets each part fill from nothing from this gateway's start, as after a restart.

An answer carries a reading as soon as the meter has finished its first period, also one of nothing (checked: none before 3 s, on every answer from then on, restarted nodes included). So a gateway whose first four good answers bring none, where there is a meter, belongs to a fleet that has only begun, and had no earlier life: its parts are full, less what it has sent. With one reading ever, or without a meter, all stays as it was.

Ruled out: sharing parts unevenly by readings (a late reading would let two gateways spend the same units).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,6 +29,9 @@
 const READING_LAG: Millis = 800.0;
 /// A changed reading is a new period's only after this part of a period; answers may overtake each other.
 const READING_SPACING: f64 = 0.5;
+/// Good answers without a reading, and none with one, that show a fleet whose meter has not finished a first
+/// period: more than one, since a reading may be lost.
+const FRESH_ANSWERS: u32 = 4;
 /// Part of an aim that an unmeasured request is taken to need on an idle server.
 const FIRST_WORK: f64 = 0.1;
 /// How many answers that guess is worth, and the one that a server is as quick as others: one unusually long
@@ -125,6 +128,9 @@
     rng: fastrand::Rng,
     now: Millis,
     born: Option<Millis>,
+    /// Since when the parts of ceilings fill up, and good answers so far without a reading.
+    filling_since: Millis,
+    unread: u32,
     zone: Arc<str>,
     servers: BTreeMap<ServerId, Server>,
     /// Part of the attempts to each zone that got no connection of late, and when the last one ended.
@@ -184,6 +190,8 @@
             rng,
             now: f64::NEG_INFINITY,
             born: None,
+            filling_since: f64::NAN,
+            unread: 0,
             servers: BTreeMap::new(),
             zones: BTreeMap::new(),
             requests: BTreeMap::new(),
@@ -207,6 +215,7 @@
         self.now = self.now.max(now);
         if self.born.is_none() {
             self.born = Some(self.now);
+            self.filling_since = self.now;
             if self.settings.list_on_request {
                 actions.push(Action::Subscribe);
             }
@@ -292,7 +301,7 @@
 
     /// The exact record of a customer, made if there is none.
     fn customer(&mut self, plan: usize, key: &Arc<str>, width: f64, sent: f64) -> &mut Customer {
-        let (now, born) = (self.now, self.born.unwrap_or(self.now));
+        let (now, age) = (self.now, (self.now - self.filling_since) / 1000.0);
         let limits = &self.settings.plans[plan];
         let part = ((1.0 / limits.excess_cost).clamp(BURST_PART.0, BURST_PART.1) / width).min(1.0);
         self.customers.entry(key.clone()).or_insert_with(|| Customer {
@@ -311,7 +320,7 @@
             metered_use: limits.rate,
             reading: None,
             // An earlier life of this gateway may have emptied its part just before this one began.
-            ceiling: (limits.ceiling_burst / width).min((now - born) / 1000.0 * limits.ceiling_rate / width),
+            ceiling: limits.ceiling_burst.min(age * limits.ceiling_rate) / width,
             ceiling_at: now,
             seen_at: now,
         })
@@ -378,6 +387,22 @@
         }
     }
 
+    /// A good answer without a reading. Where there is a meter, some of them and none with one show that no
+    /// gateway has sent for long: there was no earlier life that may have emptied this one's parts of ceilings.
+    fn read_nothing(&mut self) {
+        self.unread += 1;
+        if self.unread < FRESH_ANSWERS || self.settings.meter_period.is_none() {
+            return;
+        }
+        let age = (self.now - self.filling_since) / 1000.0;
+        for customer in self.customers.values_mut() {
+            let limits = &self.settings.plans[customer.plan];
+            let missed = (limits.ceiling_burst - age * limits.ceiling_rate).max(0.0) / customer.width;
+            customer.ceiling = (customer.ceiling + missed).min(limits.ceiling_burst / customer.width);
+        }
+        self.filling_since = f64::MIN;
+    }
+
     // Servers.
 
     fn list(&mut self, kind: ListKind, members: &[Member], actions: &mut Vec<Action>) {
@@ -703,8 +728,13 @@
             server.out.retain(|(id, number, _)| *id != done.request || *number != done.attempt);
         }
         self.learn(attempt.server, class, units, &attempt, done);
-        if let Some(percent) = done.use_percent {
-            self.read_meter(plan, &customer, width, percent);
+        match done.use_percent {
+            Some(percent) => {
+                self.unread = u32::MAX;
+                self.read_meter(plan, &customer, width, percent);
+            }
+            None if done.outcome == Outcome::Ok && self.unread < FRESH_ANSWERS => self.read_nothing(),
+            None => {}
         }
         self.settle(&done.request, actions);
     }
