Tell a client refused after failed attempts when to come back

Gateway::settle refused at once, as it must, but without advice, so that clients who retry at once came back at once. The same rule as for refusals on arrival holds now: a quarter of what is left of the aim, no more than the settings allow, nothing once the aim has passed.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -602,8 +602,7 @@
         };
         let aim_at = self.now + self.settings.classes[class].aim;
         let left = (aim_at - self.now).min(arrival.deadline - self.now);
-        // A client's retry counts from its first try: one after the aim would spend quota for nothing.
-        let retry_after = (left * COMEBACK).min(self.settings.max_retry_after.unwrap_or(0.0));
+        let retry_after = self.retry_after(aim_at, arrival.deadline);
         let limits = &self.settings.plans[plan];
         let pays = limits.extra_worth > limits.excess_cost;
         let standing = self.standing(plan, &arrival);
@@ -650,6 +649,13 @@
         }
     }
 
+    /// When a refused client may come back, 0 for no advice. Its retry counts from its first try: one after the
+    /// aim would spend quota for nothing.
+    fn retry_after(&self, aim_at: Millis, deadline: Millis) -> Millis {
+        let left = (aim_at.min(deadline) - self.now).max(0.0);
+        (left * COMEBACK).min(self.settings.max_retry_after.unwrap_or(0.0))
+    }
+
     /// Rule two: whether a further attempt may go to this server.
     fn may_send(&self, request: &Request, server: &Server) -> bool {
         let Some(first) = request.first_that_may_have_run() else { return true };
@@ -765,7 +771,10 @@
             }
         }
         let answer = if self.may_refuse(&request) {
-            Action::Refuse { request: id.clone(), retry_after: 0.0 }
+            Action::Refuse {
+                request: id.clone(),
+                retry_after: self.retry_after(request.aim_at, request.deadline),
+            }
         } else {
             Action::Fail { request: id.clone() }
         };
