Rate a server without a free connection by the price of a new one

At fault: Gateway::pick, which knows the price of crossing zones and not that of a connection, and so spreads the few requests of a node over all servers.

Now a server at which no connection of this gateway's is free counts as farther by that price, in the same measure as a crossing of zones. The module reckons the connections from its own attempts: as many as were out at once, fewer by those that broke, none after half of the time after which idle ones are closed.

Ruled out: a fixed subset of servers for each node (it would leave cold turns and a lost zone fewer to go to).

--- a/examples/one_gateway.rs
+++ b/examples/one_gateway.rs
@@ -37,6 +37,8 @@
         max_retry_after: Some(1_000.0),
         meter_period: Some(1_000.0),
         cross_zone_price: 0.0,
+        handshake_price: 0.0,
+        keepalive: None,
         cold_from: 0.2,
         warm_after: 10_000.0,
         fall_multiple: 2.0,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -40,6 +40,10 @@
     pub meter_period: Option<Millis>,
     /// Price of each attempt that crosses zones, as a share of a request's worth.
     pub cross_zone_price: f64,
+    /// Price of each new connection, as a share of a request's worth.
+    pub handshake_price: f64,
+    /// A connection that has been idle for this long is closed; `None` where that is not told.
+    pub keepalive: Option<Millis>,
     /// A just started server has at least this share of its capacity.
     pub cold_from: f64,
     /// And all of it after this time at the latest.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -71,8 +71,10 @@
 const COMEBACK: f64 = 0.25;
 /// Weight of one request in the mean worth for work.
 const VALUE_WEIGHT: f64 = 0.01;
-/// How many aims a crossing of zones at full price is worth.
-const ZONE_TIME: f64 = 2.0;
+/// How many aims a crossing of zones, or a new connection, at full price is worth.
+const PRICE_TIME: f64 = 2.0;
+/// Part of the time after which idle connections are closed for which one is taken to stand.
+const LINK_LIFE: f64 = 0.5;
 /// An attempt is overdue after this many times its expected wait ...
 const OVERDUE: f64 = 5.0;
 /// ... but not before this part of what is left of the aim.
@@ -482,7 +484,9 @@
     fn pick(&mut self, request: &Request) -> Option<(ServerId, Millis, Millis)> {
         let work = self.work(request.class, request.units);
         let class = &self.settings.classes[request.class];
-        let zone_time = ZONE_TIME * self.settings.cross_zone_price * class.aim;
+        let zone_time = PRICE_TIME * self.settings.cross_zone_price * class.aim;
+        let link_time = PRICE_TIME * self.settings.handshake_price * class.aim;
+        let link_life = LINK_LIFE * self.settings.keepalive.unwrap_or(f64::INFINITY);
         let out: usize = self.servers.values().map(|s| s.out.len()).sum();
         self.usual_out += OUT_WEIGHT * (out as f64 - self.usual_out);
         let (unreported, aim) = (self.unreported(), self.shortest_aim);
@@ -525,10 +529,12 @@
                 continue;
             }
             let zone = if server.zone == self.zone { 0.0 } else { zone_time };
+            let linked = server.out.len() < server.links && self.now < server.answered_at + link_life;
+            let link = if linked { 0.0 } else { link_time };
             let (failing, at) = self.zones.get(&server.zone).copied().unwrap_or((0.0, self.now));
             let zone = zone + class.aim * failing * (-(self.now - at) / (BLOCK_LAST * aim)).exp();
             // A turn lapses, and work warms a server: it is taken whenever it serves in time.
-            let cost = if cold { zone } else { wait + zone } * (1.0 + SCATTER * self.rng.f64());
+            let cost = if cold { zone } else { wait + zone + link } * (1.0 + SCATTER * self.rng.f64());
             if best.is_none_or(|(c, ..)| cost < c) {
                 best = Some((cost, *id, wait, queue));
             }
@@ -574,6 +580,10 @@
             let (failing, at) = self.zones.entry(server.zone.clone()).or_insert((0.0, now));
             (*failing, *at) = (*failing + ZONE_WEIGHT * (failed - *failing), now);
         }
+        // Whatever else ended an attempt has closed its connection too.
+        if !matches!(done.outcome, Outcome::Ok | Outcome::Full | Outcome::Error) {
+            server.links = server.links.saturating_sub(1);
+        }
         note_outcome(server, now, done.outcome, attempt.sent_at, self.shortest_aim);
         note_load(server, now, done.load);
     }
@@ -705,6 +715,7 @@
         });
         let Some(server) = self.servers.get_mut(&server_id) else { return };
         server.out.push_back((id.clone(), number, now));
+        server.links = server.links.max(server.out.len());
         server.turn = if server.turn.0 == turn { (turn, server.turn.1 + 1) } else { (turn, 1) };
         self.plans[plan].out.add(&customer, 1.0);
         if let Some(request) = self.requests.get_mut(id) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -63,6 +63,8 @@
         ("fall_multiple", settings.fall_multiple),
         ("fall_window", settings.fall_window),
         ("cross_zone_price", settings.cross_zone_price),
+        ("handshake_price", settings.handshake_price),
+        ("keepalive", settings.keepalive.unwrap_or(0.0)),
         ("meter_period", settings.meter_period.unwrap_or(0.0)),
         ("max_retry_after", settings.max_retry_after.unwrap_or(0.0)),
     ];
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -86,6 +86,7 @@
 #[serde(rename_all = "camelCase", default)]
 struct Prices {
     cross_zone: f64,
+    handshake: f64,
 }
 
 #[derive(Deserialize)]
@@ -169,6 +170,7 @@
     /// # Errors
     /// Names the key whose value is unknown.
     pub fn settings(self) -> Result<Settings, String> {
+        let keepalive = self.links().keepalive;
         Ok(Settings {
             gateways: self.balancers,
             rank: self.rank,
@@ -187,6 +189,8 @@
             max_retry_after: self.allowed.retry_after.then_some(self.allowed.max_retry_after_ms),
             meter_period: (self.domain.use_period_ms > 0.0).then_some(self.domain.use_period_ms),
             cross_zone_price: self.prices.cross_zone,
+            handshake_price: self.prices.handshake,
+            keepalive,
             cold_from: self.rules.cold_from,
             warm_after: self.rules.warm_after_ms,
             fall_multiple: self.rules.fall_multiple,
--- a/src/state.rs
+++ b/src/state.rs
@@ -71,6 +71,8 @@
     pub started: Option<Millis>,
     /// Own attempts out: request, number and time of each send.
     pub out: VecDeque<(RequestId, u32, Millis)>,
+    /// Connections to it that own attempts have opened and that are taken still to stand.
+    pub links: usize,
     /// Requests of other gateways, by the last report.
     pub others: f64,
     /// Time of that report.
@@ -105,6 +107,7 @@
             weight: member.weight,
             started: member.started,
             out: VecDeque::new(),
+            links: 0,
             others: 0.0,
             reported_at: f64::NEG_INFINITY,
             pace: 1.0,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -33,6 +33,8 @@
         max_retry_after: Some(1000.0),
         meter_period: Some(1000.0),
         cross_zone_price: 0.01,
+        handshake_price: 0.0,
+        keepalive: None,
         cold_from: 0.2,
         warm_after: 15_000.0,
         fall_multiple: 2.0,
@@ -1021,3 +1023,38 @@
         assert_eq!(actions, vec![Action::Refuse { request, retry_after: 0.0 }]);
     }
 }
+
+/// Servers used by requests that come one at a time, `step` ms apart, of five that are all alike and answer as was
+/// expected of them.
+fn servers_used(handshake_price: f64, step: f64) -> usize {
+    let settings = Settings { gateways: 1, handshake_price, keepalive: Some(10_000.0), ..settings() };
+    let mut rig = Rig::new(settings, servers(5));
+    let mut used = std::collections::BTreeSet::new();
+    for i in 0..40 {
+        let now = step * f64::from(i + 1);
+        let (request, actions) = rig.arrive(now, "read", &format!("c{i}"));
+        used.insert(sent_to(&actions).expect("there is room"));
+        rig.handle(now + 100.0, Event::Done(Done { elapsed: 100.0, ..answer(&request) }));
+    }
+    used.len()
+}
+
+#[test]
+fn a_server_with_a_connection_is_preferred_while_it_stands_and_connections_have_a_price() {
+    assert_eq!(servers_used(0.08, 500.0), 1);
+    assert_eq!(servers_used(0.0, 500.0), 5);
+    // By the next request the connection has been closed as idle.
+    assert_eq!(servers_used(0.08, 15_000.0), 5);
+}
+
+#[test]
+fn a_busy_or_broken_connection_is_no_reason_to_stay() {
+    let settings = Settings { handshake_price: 0.08, keepalive: Some(10_000.0), ..settings() };
+    let mut rig = Rig::new(settings, servers(2));
+    let (first, actions) = rig.arrive(1.0, "read", "a");
+    let home = sent_to(&actions).expect("there is room");
+    // Its connection is taken, and a second one costs as much there as anywhere.
+    assert_ne!(sent_to(&rig.arrive(2.0, "read", "b").1), Some(home));
+    // A request that breaks goes on elsewhere, and its connection with it.
+    assert_ne!(sent_to(&rig.done(50.0, &first, 0, Outcome::Reset)), Some(home));
+}
