--- a/src/bin/ivygate/backoff.rs
+++ b/src/bin/ivygate/backoff.rs
@@ -11,9 +11,9 @@
 /// What each node adds to the last wait where all call one discovery: even if none is answered, all together
 /// then call some twenty times a second, which is about what a list service is built for.
 const LAST_PER_NODE: Duration = Duration::from_millis(100);
-/// What each node adds to the time over which first calls are spread, and those after a first failure: a fleet
-/// that starts in one moment, or whose watches break in one, would else fill the line at once, and a call that has
-/// waited too long in it has cost its turn all the same.
+/// What each node adds to the time over which first calls are spread, and those after a first failure: a
+/// fleet that starts in one moment, or whose watches break in one, would else fill the line at once, and a
+/// call that has waited too long in it has cost its turn all the same.
 const SPREAD_PER_NODE: Duration = Duration::from_millis(60);
 
 /// The waits between calls, drawn anew for each so that nodes which fail together do not call together again.
--- a/src/bin/ivygate/discovery.rs
+++ b/src/bin/ivygate/discovery.rs
@@ -127,8 +127,9 @@
         if let Err(Trouble::Unreadable) = stream(agent, driver, &mut rev, &mut lines).await {
             whole = true;
         }
-        // Only a watch that has brought more than its first line counts as a success: discovery that accepts
-        // and hangs up, as it does when its line is too long, or answers nonsense, is not called in a tight loop.
+        // Only a watch that has brought more than its first line counts as a success: discovery that
+        // accepts and hangs up, as it does when its line is too long, or answers nonsense, is not called in
+        // a tight loop.
         if lines > 1 {
             pace.succeeded();
         }
--- a/src/bin/ivygate/driver.rs
+++ b/src/bin/ivygate/driver.rs
@@ -359,8 +359,7 @@
                 self.set_timer(state, at, Timer::Gateway(token));
             }
             Action::Log { text } => eprintln!("{text}"),
-            // This node's discovery is always subscribed to, and app servers are never probed: the protocol
-            // has no message for it.
+            // This node's discovery is always subscribed to, and it does not probe app servers.
             Action::Subscribe | Action::Probe { .. } => {}
         }
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -95,8 +95,8 @@
 const BLOCK_FULL: f64 = 0.12;
 /// Part of the work that a cold server may be sent before it falls over which is used: work varies.
 const COLD_SAFETY: f64 = 0.75;
-/// Length of a turn at a cold server, in windows: long enough for a gateway of a large fleet to have something
-/// to send in it, short enough that a window holds little more than its own turns.
+/// Length of a turn at a cold server, in windows: long enough for a gateway of a large fleet to have
+/// something to send in it, short enough that a window holds little more than its own turns.
 const COLD_TURN: f64 = 0.5;
 /// Period of housekeeping, in milliseconds.
 const TICK: Millis = 20.0;
@@ -390,7 +390,8 @@
     }
 
     /// A good answer without a reading. Where there is a meter, some of them and none with one show that no
-    /// gateway has sent for long: there was no earlier life that may have emptied this one's parts of ceilings.
+    /// gateway has sent for long: there was no earlier life that may have emptied this one's parts of
+    /// ceilings.
     fn read_nothing(&mut self) {
         self.unread += 1;
         if self.unread < FRESH_ANSWERS || self.settings.meter_period.is_none() {
@@ -446,11 +447,11 @@
         from + (1.0 - from) * age / self.settings.warm_after
     }
 
-    /// Rule four, by this gateway alone: the turn at a cold server that is on now, and how many requests of this
-    /// work this gateway may send in it. Each turn has room for so much of what the server can take, it being
-    /// taken to serve one request at a time, as every server can at least. Gateways take it by their ranks,
-    /// from one that server and turn draw: all draw the same, so that together they never send more, and
-    /// few turns are lost to gateways with nothing to send.
+    /// Rule four, by this gateway alone: the turn at a cold server that is on now, and how many requests of
+    /// this work this gateway may send in it. Each turn has room for so much of what the server can take,
+    /// it being taken to serve one request at a time, as every server can at least. Gateways take it by
+    /// their ranks, from one that server and turn draw: all draw the same, so that together they never send
+    /// more, and few turns are lost to gateways with nothing to send.
     fn cold_turn(&self, id: ServerId, server: &Server, work: Millis) -> (u64, u32) {
         let (gateways, length) = (f64::from(self.settings.gateways), COLD_TURN * self.settings.fall_window);
         let turn = ((self.now - server.started.unwrap_or(self.now)) / length).max(0.0) as u64;
@@ -659,8 +660,8 @@
         }
     }
 
-    /// When a refused client may come back, 0 for no advice. Its retry counts from its first try: one after the
-    /// aim would spend quota for nothing.
+    /// When a refused client may come back, 0 for no advice. Its retry counts from its first try: one after
+    /// the aim would spend quota for nothing.
     fn retry_after(&self, aim_at: Millis, deadline: Millis) -> Millis {
         let left = (aim_at.min(deadline) - self.now).max(0.0);
         (left * COMEBACK).min(self.settings.max_retry_after.unwrap_or(0.0))
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -294,8 +294,8 @@
     }
 }
 
-/// Units of a customer under a ceiling that pass at once at a gateway of a set of two, after answers to another
-/// customer's requests; `percent` is what each of them tells of the meter.
+/// Units of a customer under a ceiling that pass at once at a gateway of a set of two, after answers to
+/// another customer's requests; `percent` is what each of them tells of the meter.
 fn passes_after_answers(percent: &[Option<f64>], meter: Option<f64>) -> usize {
     let mut settings = Settings { meter_period: meter, ..with_ceiling() };
     let plain =
@@ -1024,8 +1024,8 @@
     }
 }
 
-/// Servers used by requests that come one at a time, `step` ms apart, of five that are all alike and answer as was
-/// expected of them.
+/// Servers used by requests that come one at a time, `step` ms apart, of five that are all alike and answer
+/// as was expected of them.
 fn servers_used(handshake_price: f64, step: f64) -> usize {
     let settings = Settings { gateways: 1, handshake_price, keepalive: Some(10_000.0), ..settings() };
     let mut rig = Rig::new(settings, servers(5));
