Read objects of a watch that come indented over several lines

Seen (loopback, tests/discovery.rs on the code before): a change pushed as an indented object is never taken. The first line, `{`, is no JSON, so the watch is given up, the whole list fetched, and the next watch opened from the version that the list told of: where discovery has nothing newer in its list the change is lost, elsewhere it is late by two calls and up to a second of backing off, past the 250 ms that a drain allows. At fault: discovery.rs, stream, which cut the text at each line feed and parsed every line by itself.

Now objects.rs cuts the text by braces, brackets and strings, each byte looked at once. What is no object is noticed at its first byte; an object that stops half way for 250 ms has lost its end, and the list is fetched anew.

Ruled out: the list that is fetched whole, which was parsed whole and may be indented.

--- a/src/bin/ivygate/discovery.rs
+++ b/src/bin/ivygate/discovery.rs
@@ -2,7 +2,8 @@
 
 use crate::backoff::Pace;
 use crate::driver::Driver;
-use bytes::{Buf, Bytes, BytesMut};
+use crate::objects::{Objects, Unreadable, LONGEST};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
@@ -73,17 +74,24 @@
 const ANSWER: Duration = Duration::from_secs(3);
 /// A watch has an empty line every 2 s; one that is silent for this long is dead without having said so.
 const SILENCE: Duration = Duration::from_secs(5);
-/// Longest list or line that is believed; guards the memory against a peer that never ends its line.
-const LIST_MOST: usize = 4 << 20;
+/// An object is written in one piece, on one line or on several. One that stops half way for this long has
+/// lost its end, and what comes next would be read as the rest of it.
+const PIECE: Duration = Duration::from_millis(250);
 
 /// What went wrong with a call. The cure is the same for all: wait, and call again.
 enum Trouble {
     /// No connection, no answer, or the answer ended.
     Lost,
-    /// An answer or a line that cannot be read: the list must be fetched anew.
+    /// An answer or an object that cannot be read: the list must be fetched anew.
     Unreadable,
 }
 
+impl From<Unreadable> for Trouble {
+    fn from(_: Unreadable) -> Self {
+        Trouble::Unreadable
+    }
+}
+
 /// Keeps the driver informed for as long as the node runs, by the agent that was named last.
 pub async fn follow(
     driver: Rc<Driver>,
@@ -168,7 +176,7 @@
 
 async fn list(agent: SocketAddr) -> Result<Listing, Trouble> {
     let mut call = call(agent, "/discovery/hosts").await.ok_or(Trouble::Lost)?;
-    let body = http_body_util::Limited::new(&mut call.body, LIST_MOST).collect();
+    let body = http_body_util::Limited::new(&mut call.body, LONGEST).collect();
     let body = timeout(ANSWER, body).await.map_err(|_| Trouble::Lost)?.map_err(|_| Trouble::Lost)?;
     serde_json::from_slice(&body.to_bytes()).map_err(|_| Trouble::Unreadable)
 }
@@ -181,26 +189,21 @@
 ) -> Result<(), Trouble> {
     let path = format!("/discovery/hosts?stream=1&index={}", rev.unwrap_or(0));
     let mut call = call(agent, &path).await.ok_or(Trouble::Lost)?;
-    let mut text = BytesMut::new();
+    let mut objects = Objects::default();
     loop {
-        let frame = timeout(SILENCE, call.body.frame()).await.map_err(|_| Trouble::Lost)?;
+        let (longest, trouble) =
+            if objects.begun() { (PIECE, Trouble::Unreadable) } else { (SILENCE, Trouble::Lost) };
+        let frame = timeout(longest, call.body.frame()).await.map_err(|_| trouble)?;
         let frame = frame.ok_or(Trouble::Lost)?.map_err(|_| Trouble::Lost)?;
         let Ok(data) = frame.into_data() else { continue };
-        let mut from = text.len();
-        text.extend_from_slice(&data);
-        while let Some(end) = text[from..].iter().position(|byte| *byte == b'\n') {
-            let line = text.split_to(from + end);
-            text.advance(1);
-            from = 0;
-            if !line.trim_ascii().is_empty() {
-                let listing: Listing = serde_json::from_slice(&line).map_err(|_| Trouble::Unreadable)?;
-                *rev = Some(listing.rev);
-                driver.list(listing);
-            }
+        if !objects.begun() {
             *lines = lines.saturating_add(1);
         }
-        if text.len() > LIST_MOST {
-            return Err(Trouble::Unreadable);
+        objects.push(&data);
+        while let Some(object) = objects.next()? {
+            let listing: Listing = serde_json::from_slice(&object).map_err(|_| Trouble::Unreadable)?;
+            *rev = Some(listing.rev);
+            driver.list(listing);
         }
     }
 }
--- a/src/bin/ivygate/main.rs
+++ b/src/bin/ivygate/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod discovery;
 mod driver;
+mod objects;
 mod request;
 mod server;
 mod upstream;
--- /dev/null
+++ b/tests/discovery.rs
@@ -0,0 +1,53 @@
+//! What discovery may do to a node: objects laid out in any way, silence.
+
+mod support;
+
+use std::sync::atomic::Ordering;
+use support::*;
+
+/// Two app servers and discovery that lists the first; the node is held to know that list.
+fn two() -> ([App; 2], Discovery, String) {
+    let apps = [App::start(|_| Reply::ok("old")), App::start(|_| Reply::ok("new"))];
+    let list = listing(1, true, &[target("a", apps[0].address, "north", "SERVING")]);
+    (apps, Discovery::start(list.clone()), list)
+}
+
+/// The change by which the second takes the place of the first.
+fn change(apps: &[App; 2]) -> String {
+    let gone = target("a", apps[0].address, "north", "DELETED");
+    listing(2, false, &[gone, target("b", apps[1].address, "north", "SERVING")])
+}
+
+fn indented(json: &str) -> String {
+    let value: serde_json::Value = serde_json::from_str(json).expect("JSON");
+    serde_json::to_string_pretty(&value).expect("JSON")
+}
+
+#[test]
+fn a_change_that_comes_indented_is_taken_as_it_is() {
+    for whole in [true, false] {
+        let (apps, discovery, list) = two();
+        let node = Node::start(&config(discovery.address, &list, SETTINGS, 1024));
+        let change = indented(&change(&apps));
+        if whole {
+            discovery.push(&change);
+        } else {
+            change.lines().for_each(|line| discovery.push(line));
+        }
+        until("the new server is used", || node.ask(&request("read", "r")).body == b"new");
+        let counts = (discovery.lists.load(Ordering::SeqCst), discovery.watched.load(Ordering::SeqCst));
+        assert_eq!(counts, (0, 1));
+    }
+}
+
+#[test]
+fn an_object_that_stops_half_way_is_not_waited_for() {
+    let (apps, discovery, list) = two();
+    let node = Node::start(&config(discovery.address, &list, SETTINGS, 1024));
+    let half = indented(&change(&apps));
+    let listed = listing(2, true, &[target("b", apps[1].address, "north", "SERVING")]);
+    discovery.set(listed);
+    discovery.write(&half[..half.len() / 2]);
+    until("the new server is used", || node.ask(&request("read", "r")).body == b"new");
+    assert_eq!(discovery.lists.load(Ordering::SeqCst), 1);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -185,12 +185,23 @@
     format!(r#"{{"rev":{rev},"all":{all},"targets":[{}]}}"#, targets.join(","))
 }
 
+/// Whether the other side has closed a connection on which nothing is to be read.
+pub fn is_over(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).expect("it can be set");
+    let peeked = stream.peek(&mut [0]);
+    stream.set_nonblocking(false).expect("it can be set");
+    !peeked.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+}
+
 /// Discovery; it gives the list that it has been set to and pushes lines to those who watch.
 #[derive(Clone)]
 pub struct Discovery {
     pub address: SocketAddr,
     list: Arc<Mutex<String>>,
     watches: Arc<Mutex<Vec<TcpStream>>>,
+    silent: Arc<AtomicBool>,
+    /// Calls that came while it was silent; they are never answered.
+    held: Arc<Mutex<Vec<TcpStream>>>,
     /// How often the list was asked for.
     pub lists: Arc<AtomicUsize>,
     /// How often a watch was opened.
@@ -204,6 +215,8 @@
             address: listener.local_addr().expect("an address"),
             list: Arc::new(Mutex::new(list)),
             watches: Arc::default(),
+            silent: Arc::default(),
+            held: Arc::default(),
             lists: Arc::default(),
             watched: Arc::default(),
         };
@@ -219,7 +232,9 @@
     fn answer(&self, stream: TcpStream) {
         let mut stream = BufReader::new(stream);
         let Some(request) = read_message(&mut stream) else { return };
-        if request.start.contains("stream=1") {
+        if self.silent.load(Ordering::SeqCst) {
+            self.held.lock().expect("no panic").push(stream.into_inner());
+        } else if request.start.contains("stream=1") {
             let _ = stream
                 .get_mut()
                 .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
@@ -237,11 +252,27 @@
         *self.list.lock().expect("no panic") = list;
     }
 
+    /// Takes calls and leaves them unanswered from now on, or answers new ones again.
+    pub fn fall_silent(&self, silent: bool) {
+        self.silent.store(silent, Ordering::SeqCst);
+    }
+
+    /// How many calls were left unanswered, and how many of those the node has ended.
+    pub fn held(&self) -> (usize, usize) {
+        let held = self.held.lock().expect("no panic");
+        (held.len(), held.iter().filter(|call| is_over(call)).count())
+    }
+
     /// Writes a line to all who watch, of which there must be one.
     pub fn push(&self, line: &str) {
+        self.write(&format!("{line}\n"));
+    }
+
+    /// Writes a piece of text to all who watch, of which there must be one.
+    pub fn write(&self, text: &str) {
         until("discovery is watched", || !self.watches.lock().expect("no panic").is_empty());
         for watch in self.watches.lock().expect("no panic").iter_mut() {
-            let _ = watch.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes());
+            let _ = watch.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes());
         }
     }
 
@@ -297,7 +328,15 @@
         Self::start(&config(discovery.address, &list, SETTINGS, 1024))
     }
 
+    /// Starts a node and waits until it is up.
     pub fn start(config: &str) -> Self {
+        let node = Self::spawn(config);
+        until("the node is up", || node.up() == Some(200));
+        node
+    }
+
+    /// Starts a node and waits until it listens.
+    pub fn spawn(config: &str) -> Self {
         let path = scratch(config);
         let mut child = Command::new(env!("CARGO_BIN_EXE_ivygate"))
             .env("RELAY_CONFIG", &path)
@@ -310,13 +349,14 @@
         let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
         let address = address.unwrap_or_else(|| panic!("no address in '{line}'"));
         std::thread::spawn(move || std::io::copy(&mut lines, &mut std::io::sink()));
-        let node = Self { address, config: path, child };
-        until("the node is up", || {
-            let mut client = node.client();
-            client.write(b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
-            client.read().is_some_and(|answer| answer.status() == 200)
-        });
-        node
+        Self { address, config: path, child }
+    }
+
+    /// What it says of its being up.
+    pub fn up(&self) -> Option<u16> {
+        let mut client = self.client();
+        client.write(b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
+        client.read().map(|answer| answer.status())
     }
 
     pub fn client(&self) -> Client {
