Call a silent agent again while the last call is still open, and end a watch after 3 s

A silent watch was noticed after 5 s; connect (1 s), answer (3 s) and backing off then pass the 6 s after which it counts as told, and where lists are asked for 300 nodes spread their calls over 10 s.

A watch is silent after 3 s, one and a half heartbeats.

--- a/src/bin/ivygate/discovery.rs
+++ b/src/bin/ivygate/discovery.rs
@@ -9,13 +9,14 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::task::AbortHandle;
-use tokio::time::{sleep, timeout};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{interval, sleep, timeout, MissedTickBehavior};
 
 /// The list or a change of it.
 #[derive(Clone, Debug, Deserialize)]
@@ -68,20 +69,29 @@
     1.0
 }
 
-/// Longest time for a connection to the agent, which is on this machine.
+/// Longest time for a connection.
 const CONNECT: Duration = Duration::from_secs(1);
 /// Longest time for an answer's head and for a whole list.
 const ANSWER: Duration = Duration::from_secs(3);
-/// A watch has an empty line every 2 s; one that is silent for this long is dead without having said so.
-const SILENCE: Duration = Duration::from_secs(5);
+/// Where calls are free the agent answers at once or, while discovery is down, not at all. What it gets at
+/// discovery's return counts as told at once, but a call that it has left unanswered may never be: each one
+/// is waited for no longer than this ...
+const ANSWER_FREE: Duration = Duration::from_millis(600);
+/// ... and another is made beside it after this time, well within the grace for a drain.
+const AGAIN_FREE: Duration = Duration::from_millis(150);
+/// A watch has an empty line every 2 s; one that is silent for half as long again is dead without having said
+/// so. What a silent watch misses counts as told after 6 s: the rest is for opening the next one.
+const SILENCE: Duration = Duration::from_secs(3);
 /// An object is written in one piece, on one line or on several. One that stops half way for this long has
 /// lost its end, and what comes next would be read as the rest of it.
 const PIECE: Duration = Duration::from_millis(250);
-
-/// What went wrong with a call. The cure is the same for all: wait, and call again.
+/// What went wrong with a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Trouble {
     /// No connection, no answer, or the answer ended.
     Lost,
+    /// The watch has fallen silent.
+    Silent,
     /// An answer or an object that cannot be read: the list must be fetched anew.
     Unreadable,
 }
@@ -118,12 +128,10 @@
     // A watch from the version held brings all that has changed since: only who holds none, or has read what
     // cannot be read, needs the whole list, the dearer call where calls are counted by lines.
     let mut whole = rev.is_none();
-    if !whole {
-        sleep(pace.first()).await;
-    }
+    sleep(if whole { pace.soon() } else { pace.first() }).await;
     loop {
         if whole {
-            if let Ok(listing) = list(agent).await {
+            if let Ok(listing) = list(agent, pace.free()).await {
                 rev = Some(listing.rev);
                 driver.list(listing);
                 whole = false;
@@ -131,73 +139,93 @@
             }
         }
         // A watch brings the list too where fetching it failed, so it is tried all the same.
-        let mut lines = 0;
-        if let Err(Trouble::Unreadable) = stream(agent, driver, &mut rev, &mut lines).await {
-            whole = true;
-        }
-        // Only a watch that has brought more than its first line counts as a success: discovery that
+        let mut news = 0;
+        let Err(trouble) = stream(agent, pace.free(), driver, &mut rev, &mut news).await;
+        whole |= trouble == Trouble::Unreadable;
+        // Only a watch that has brought more than its first news counts as a success: discovery that
         // accepts and hangs up, as it does when its line is too long, or answers nonsense, is not called in
         // a tight loop.
-        if lines > 1 {
+        let stood = news > 1;
+        if stood {
             pace.succeeded();
         }
-        sleep(pace.failed()).await;
+        sleep(if stood && trouble == Trouble::Silent { pace.soon() } else { pace.failed() }).await;
     }
 }
 
 /// A connection of its own for each call; it ends with this.
+struct Connection(AbortHandle);
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// An answer that has begun.
 struct Call {
     body: Incoming,
-    connection: AbortHandle,
+    _connection: Connection,
 }
 
-impl Drop for Call {
-    fn drop(&mut self) {
-        self.connection.abort();
+/// Calls until there is an answer or all that was tried has failed.
+async fn call(agent: SocketAddr, path: String, free: bool) -> Option<Call> {
+    if !free {
+        return call_once(agent, path, ANSWER).await;
+    }
+    let mut calls = JoinSet::new();
+    let mut again = interval(AGAIN_FREE);
+    again.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = again.tick() => {
+                calls.spawn_local(call_once(agent, path.clone(), ANSWER_FREE));
+            }
+            Some(ended) = calls.join_next() => match ended {
+                Ok(Some(call)) => return Some(call),
+                _ if calls.is_empty() => return None,
+                _ => {}
+            }
+        }
     }
 }
 
-async fn call(agent: SocketAddr, path: &str) -> Option<Call> {
-    let stream = timeout(CONNECT, TcpStream::connect(agent)).await.ok()?.ok()?;
+async fn call_once(agent: SocketAddr, path: String, longest: Duration) -> Option<Call> {
+    let stream = timeout(CONNECT.min(longest), TcpStream::connect(agent)).await.ok()?.ok()?;
     stream.set_nodelay(true).ok()?;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
-    let connection = tokio::task::spawn_local(connection).abort_handle();
+    let connection = Connection(tokio::task::spawn_local(connection).abort_handle());
     let request = Request::get(path).header("host", agent.to_string()).body(Empty::<Bytes>::new()).ok()?;
-    match timeout(ANSWER, sender.send_request(request)).await {
-        Ok(Ok(answer)) if answer.status() == StatusCode::OK => {
-            Some(Call { body: answer.into_body(), connection })
-        }
-        _ => {
-            connection.abort();
-            None
-        }
-    }
+    let answer = timeout(longest, sender.send_request(request)).await.ok()?.ok()?;
+    (answer.status() == StatusCode::OK).then(|| Call { body: answer.into_body(), _connection: connection })
 }
 
-async fn list(agent: SocketAddr) -> Result<Listing, Trouble> {
-    let mut call = call(agent, "/discovery/hosts").await.ok_or(Trouble::Lost)?;
+async fn list(agent: SocketAddr, free: bool) -> Result<Listing, Trouble> {
+    let mut call = call(agent, "/discovery/hosts".to_owned(), free).await.ok_or(Trouble::Lost)?;
     let body = http_body_util::Limited::new(&mut call.body, LONGEST).collect();
     let body = timeout(ANSWER, body).await.map_err(|_| Trouble::Lost)?.map_err(|_| Trouble::Lost)?;
     serde_json::from_slice(&body.to_bytes()).map_err(|_| Trouble::Unreadable)
 }
 
+/// Watches the list for as long as that lasts, and counts the news: objects, and lines that say nothing.
 async fn stream(
     agent: SocketAddr,
+    free: bool,
     driver: &Rc<Driver>,
     rev: &mut Option<u64>,
-    lines: &mut u32,
-) -> Result<(), Trouble> {
+    news: &mut u32,
+) -> Result<Infallible, Trouble> {
     let path = format!("/discovery/hosts?stream=1&index={}", rev.unwrap_or(0));
-    let mut call = call(agent, &path).await.ok_or(Trouble::Lost)?;
+    let mut call = call(agent, path, free).await.ok_or(Trouble::Lost)?;
     let mut objects = Objects::default();
     loop {
         let (longest, trouble) =
-            if objects.begun() { (PIECE, Trouble::Unreadable) } else { (SILENCE, Trouble::Lost) };
+            if objects.begun() { (PIECE, Trouble::Unreadable) } else { (SILENCE, Trouble::Silent) };
         let frame = timeout(longest, call.body.frame()).await.map_err(|_| trouble)?;
         let frame = frame.ok_or(Trouble::Lost)?.map_err(|_| Trouble::Lost)?;
         let Ok(data) = frame.into_data() else { continue };
         if !objects.begun() {
-            *lines = lines.saturating_add(1);
+            *news = news.saturating_add(1);
         }
         objects.push(&data);
         while let Some(object) = objects.next()? {
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
 use support::*;
 
 /// Two app servers and discovery that lists the first; the node is held to know that list.
@@ -51,3 +52,32 @@
     until("the new server is used", || node.ask(&request("read", "r")).body == b"new");
     assert_eq!(discovery.lists.load(Ordering::SeqCst), 1);
 }
+
+#[test]
+fn a_call_left_unanswered_keeps_no_other_from_being_made() {
+    let (apps, discovery, list) = two();
+    discovery.fall_silent(true);
+    let node = Node::start(&config(discovery.address, &list, SETTINGS, 1024));
+    until("a call that stays unanswered is ended", || discovery.held().1 > 0);
+    // Others were made while it was still open.
+    assert!(discovery.held().0 >= 2);
+    discovery.fall_silent(false);
+    until("discovery is watched", || discovery.watched.load(Ordering::SeqCst) == 1);
+    until("the others are ended", || {
+        let (calls, ended) = discovery.held();
+        calls == ended
+    });
+    discovery.push(&change(&apps));
+    until("the new server is used", || node.ask(&request("read", "r")).body == b"new");
+}
+
+#[test]
+fn a_watch_that_falls_silent_is_opened_anew_before_it_counts_as_told() {
+    let (_apps, discovery, list) = two();
+    let _node = Node::start(&config(discovery.address, &list, SETTINGS, 1024));
+    until("discovery is watched", || discovery.watched.load(Ordering::SeqCst) == 1);
+    let silent = Instant::now();
+    until("it is watched anew", || discovery.watched.load(Ordering::SeqCst) == 2);
+    // It counts as told after 6 s, and the answer may still take its time.
+    assert!(silent.elapsed() < Duration::from_millis(4500), "{:?}", silent.elapsed());
+}
