Hold readiness back until discovery has told, or 300 ms have passed

Seen (loopback, tests/discovery.rs on the code before): a node whose configuration knows one server answers /up with 200 at once, though the agent holds that this server drains and has not been asked yet. From the first moment of a new process what the agent holds counts as told, so clients let in by then may be sent to it too late. At fault: driver.rs, ready, which looks at the known list only.

Now a node is ready when the agent's first object has come, or 300 ms after its start: while discovery is down the agent is silent, nothing is told, and the node serves by the list that it knows. Ruled out: a node without any list, which is not ready before it has one, as before.

--- a/src/bin/ivygate/discovery.rs
+++ b/src/bin/ivygate/discovery.rs
@@ -134,6 +134,7 @@
             if let Ok(listing) = list(agent, pace.free()).await {
                 rev = Some(listing.rev);
                 driver.list(listing);
+                driver.heard();
                 whole = false;
                 pace.succeeded();
             }
@@ -232,6 +233,7 @@
             let listing: Listing = serde_json::from_slice(&object).map_err(|_| Trouble::Unreadable)?;
             *rev = Some(listing.rev);
             driver.list(listing);
+            driver.heard();
         }
     }
 }
--- a/src/bin/ivygate/driver.rs
+++ b/src/bin/ivygate/driver.rs
@@ -15,7 +15,7 @@
     Action, Arrival, Done, Event, Gateway, ListKind, Member, Millis, Outcome, RequestId, ServerId,
     ServerState,
 };
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,6 +29,10 @@
 /// When the last guard answers, before the client's deadline: later than any decision, early enough to
 /// arrive. In milliseconds.
 const GUARD: Millis = 5.0;
+/// Until discovery has been heard, a node that has just started is not ready for this long, in milliseconds:
+/// its list may be old, and what the agent holds counts as told at once. The agent answers at once, and while
+/// discovery is down there is nothing to be told.
+const HEAR: Millis = 300.0;
 /// Period in which idle connections are looked through, in milliseconds.
 const SWEEP: Millis = 500.0;
 /// A header whose value this node alone sets.
@@ -140,6 +144,8 @@
     state: RefCell<State>,
     upstream: Upstream,
     clock: Clock,
+    /// From when on the node is ready, heard or not, if a server is known.
+    ready_at: Cell<Millis>,
     /// A timer became the first.
     sooner: Notify,
 }
@@ -157,8 +163,15 @@
             events: VecDeque::new(),
             actions: Vec::new(),
         };
-        let driver = Rc::new(Self { state: RefCell::new(state), upstream, clock, sooner: Notify::new() });
-        driver.set_timer(&mut driver.state.borrow_mut(), clock.now() + SWEEP, Timer::Sweep);
+        let now = clock.now();
+        let driver = Rc::new(Self {
+            state: RefCell::new(state),
+            upstream,
+            clock,
+            ready_at: Cell::new(now + HEAR),
+            sooner: Notify::new(),
+        });
+        driver.set_timer(&mut driver.state.borrow_mut(), now + SWEEP, Timer::Sweep);
         driver
     }
 
@@ -169,7 +182,13 @@
 
     /// Whether an app server is known that could serve.
     pub fn ready(&self) -> bool {
-        self.state.borrow().servers.values().any(|s| s.state == TargetState::Serving)
+        let serving = |s: &Listed| s.state == TargetState::Serving;
+        self.now() >= self.ready_at.get() && self.state.borrow().servers.values().any(serving)
+    }
+
+    /// Discovery has told what it has to tell.
+    pub fn heard(&self) {
+        self.ready_at.set(f64::NEG_INFINITY);
     }
 
     /// Takes a request; its one answer comes through the receiver. `None` if a request of the same id is
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -81,3 +81,28 @@
     // It counts as told after 6 s, and the answer may still take its time.
     assert!(silent.elapsed() < Duration::from_millis(4500), "{:?}", silent.elapsed());
 }
+
+#[test]
+fn a_node_that_starts_with_an_old_list_is_not_ready_before_it_is_told() {
+    let (apps, discovery, list) = two();
+    let drained = target("a", apps[0].address, "north", "DRAINING");
+    discovery.fall_silent(true);
+    let node = Node::spawn(&config(discovery.address, &list, SETTINGS, 1024));
+    assert_eq!(node.up(), Some(503));
+    discovery.fall_silent(false);
+    discovery.push(&listing(2, false, &[drained]));
+    // Not ready by that list either, and it holds.
+    for _ in 0..20 {
+        assert_eq!(node.up(), Some(503));
+    }
+    discovery.push(&listing(3, false, &[target("b", apps[1].address, "north", "SERVING")]));
+    until("the node is up", || node.up() == Some(200));
+}
+
+#[test]
+fn a_node_that_starts_while_discovery_is_silent_serves_by_the_list_it_knows() {
+    let (_apps, discovery, list) = two();
+    discovery.fall_silent(true);
+    let node = Node::start(&config(discovery.address, &list, SETTINGS, 1024));
+    assert_eq!(node.ask(&request("read", "r")).body, b"old");
+}
