Write nothing to a server that moved or restarted while its connection came up

Seen (loopback, tests/node.rs on the code before): while a connection to `a` is coming up the list gives `a` another address, or another `boot_ms`; when the old address takes the connection, 64 bytes of the request are written to it. By then another process may stand there: cold, draining, or under another name. At fault: driver.rs, may_write, which asks only whether the id serves, and upstream.rs, where an idle connection of an earlier process at the same address is kept for the later one.

Now an attempt and each connection carry the place for which they were made, address and start, and neither is used for another. An attempt so given up has never run, and the module chooses anew. Ruled out: a drain told meanwhile, which was kept (test of its own), and a change between this check and the first byte: both happen in one poll of one task, without waiting.

--- a/src/bin/ivygate/driver.rs
+++ b/src/bin/ivygate/driver.rs
@@ -6,7 +6,7 @@
 use crate::clock::Clock;
 use crate::discovery::{Listing, TargetState};
 use crate::request::Head;
-use crate::upstream::{End, Progress, Upstream};
+use crate::upstream::{End, Place, Progress, Upstream};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HeaderValue;
@@ -17,7 +17,6 @@
 };
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
@@ -124,7 +123,7 @@
 
 struct Listed {
     uid: String,
-    address: SocketAddr,
+    place: Place,
     state: TargetState,
 }
 
@@ -279,11 +278,15 @@
             });
             match target.endpoint {
                 Some(address) if !gone => {
-                    if target.state == TargetState::Draining {
+                    let place = Place { address, boot_ms: target.boot_ms };
+                    let another = |s: &Listed| s.place != place;
+                    if target.state == TargetState::Draining
+                        || state.servers.get(&server).is_some_and(another)
+                    {
                         self.upstream.forget(server);
                     }
                     state.names.insert(target.uid.clone(), server);
-                    let listed = Listed { uid: target.uid, address, state: target.state };
+                    let listed = Listed { uid: target.uid, place, state: target.state };
                     state.servers.insert(server, listed);
                 }
                 _ => self.remove(&mut state, server),
@@ -390,15 +393,18 @@
         let number = open.attempts.len() as u32;
         let give_up_at = if give_up_at > 0.0 { give_up_at.min(open.deadline) } else { open.deadline };
         let progress = Rc::new(Progress::default());
-        let address = servers.get(&server).map(|s| s.address);
+        let place = servers.get(&server).map(|s| s.place);
         let attempt = {
             let (driver, id, progress) = (self.clone(), id.clone(), progress.clone());
             let message = open.message.clone();
             let once = open.once;
             async move {
-                let request = || driver.may_write(server, give_up_at).map(|left| message.request(left));
-                let end = match address {
-                    Some(address) => driver.upstream.attempt(server, address, &progress, once, request).await,
+                let end = match place {
+                    Some(place) => {
+                        let left = || driver.may_write(server, place, give_up_at);
+                        let request = || left().map(|left| message.request(left));
+                        driver.upstream.attempt(server, place, &progress, once, request).await
+                    }
                     None => End::bare(Outcome::Moot),
                 };
                 driver.attempt_ended(&id, number, end);
@@ -415,13 +421,12 @@
     }
 
     /// The time left for an attempt whose first byte is about to be written, unless it must not be: the
-    /// server drains or is gone by now, or its time is up. Where the client has left the attempt has been
-    /// given up, and never comes here.
-    fn may_write(&self, server: ServerId, give_up_at: Millis) -> Option<Millis> {
+    /// server drains, is gone or is another by now, or its time is up.
+    fn may_write(&self, server: ServerId, place: Place, give_up_at: Millis) -> Option<Millis> {
         let left = give_up_at - self.clock.now();
         let state = self.state.borrow();
-        let serving = state.servers.get(&server).is_some_and(|s| s.state == TargetState::Serving);
-        (serving && left > 0.0).then_some(left)
+        let serves = |s: &Listed| s.state == TargetState::Serving && s.place == place;
+        (state.servers.get(&server).is_some_and(serves) && left > 0.0).then_some(left)
     }
 
     /// Stops waiting for an attempt and closes its connection.
--- a/src/bin/ivygate/upstream.rs
+++ b/src/bin/ivygate/upstream.rs
@@ -8,7 +8,7 @@
 use hyper::header::{HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use ivygate::{Links, Load, Outcome, ServerId};
+use ivygate::{Links, Load, Millis, Outcome, ServerId};
 use serde::Deserialize;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -69,6 +69,15 @@
     }
 }
 
+/// Where an app server listens, and since when (in Unix time): another process there is another server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Place {
+    /// Its address.
+    pub address: SocketAddr,
+    /// When it last started; 0 for long ago.
+    pub boot_ms: Millis,
+}
+
 /// How far an attempt has come, for whoever gives it up.
 #[derive(Default)]
 pub struct Progress {
@@ -111,7 +120,7 @@
     written: Rc<Cell<u64>>,
     /// Nothing is asked, so that anything to be read is too much.
     resting: Rc<Cell<bool>>,
-    address: SocketAddr,
+    place: Place,
 }
 
 impl Link {
@@ -161,7 +170,7 @@
     pub async fn attempt(
         &self,
         server: ServerId,
-        address: SocketAddr,
+        place: Place,
         progress: &Progress,
         once: bool,
         request: impl Fn() -> Option<Request<Full<Bytes>>>,
@@ -170,15 +179,16 @@
             // Guards requests that can't be repeated against servers that end kept connections unsaid: a new
             // connection costs a handshake, a reset the whole request.
             let trusted = !once || self.broke.get() < BROKE_MOST;
-            let kept = if trusted { self.idle_link(server, address).await } else { None };
+            let kept = if trusted { self.idle_link(server, place).await } else { None };
             let (mut link, reused) = match kept {
                 Some(link) => (link, true),
-                None => match self.connect(address).await {
+                None => match self.connect(place).await {
                     Ok(link) => (link, false),
                     Err(outcome) => return End::bare(outcome),
                 },
             };
-            // Guards against what happened while connecting: the client left, the server drains, time is up.
+            // Guards against what happened while connecting: the client left, the server drains or is another
+            // by now, time is up.
             let Some(request) = request() else { return End::bare(Outcome::Moot) };
             progress.begin(&link.written);
             let answer = exchange(&mut link, request).await;
@@ -204,7 +214,7 @@
     }
 
     /// The idle connection last used; the others get the rest that lets them go.
-    async fn idle_link(&self, server: ServerId, address: SocketAddr) -> Option<Link> {
+    async fn idle_link(&self, server: ServerId, place: Place) -> Option<Link> {
         loop {
             let idle = {
                 let mut idle = self.idle.borrow_mut();
@@ -217,7 +227,7 @@
                 sleep(rest).await;
             }
             let mut link = idle.link;
-            if idle.since.elapsed() < self.keep && link.address == address && link.usable().await {
+            if idle.since.elapsed() < self.keep && link.place == place && link.usable().await {
                 return Some(link);
             }
         }
@@ -228,13 +238,13 @@
         self.idle.borrow_mut().entry(server).or_default().push(idle);
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Link, Outcome> {
+    async fn connect(&self, place: Place) -> Result<Link, Outcome> {
         if self.open.get() >= self.most && !self.close_oldest() {
             // No descriptor to spare: a want of this node's own, which tells nothing of the server.
             return Err(Outcome::Moot);
         }
         let slot = Slot::take(&self.open);
-        let stream = match timeout(self.connect, TcpStream::connect(address)).await {
+        let stream = match timeout(self.connect, TcpStream::connect(place.address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if out_of_descriptors(&error) => return Err(Outcome::Moot),
             Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
@@ -248,7 +258,7 @@
             .handshake(TokioIo::new(counted))
             .await
             .map_err(|_| Outcome::ConnectFailed)?;
-        Ok(Link { sender, connection, written, resting, address })
+        Ok(Link { sender, connection, written, resting, place })
     }
 
     /// Makes room by closing the connection that has been idle longest.
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -2,7 +2,6 @@
 
 mod support;
 
-use std::io::Read;
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -212,21 +211,14 @@
     assert!(app.seen() < 4);
 }
 
-#[test]
-fn a_drain_told_while_connecting_is_kept() {
-    // A listener whose queue is full answers no connection until the queue is emptied.
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
-    socket.listen(0).expect("it listens");
-    let listener: TcpListener = socket.into();
-    let address = listener.local_addr().expect("an address");
-    let mut filling = Vec::new();
-    while let Ok(stream) = std::net::TcpStream::connect_timeout(&address, Duration::from_millis(300)) {
-        filling.push(stream);
-    }
-    let list = listing(1, true, &[target("a", address, "north", "SERVING")]);
+/// A node whose only server, `a`, does not take its connection yet, with settings that leave time for that, and
+/// a client whose request waits for it.
+fn waiting(allowed: &str) -> (Blocked, Discovery, Node, Client) {
+    let blocked = Blocked::new();
+    let list = listing(1, true, &[target("a", blocked.address, "north", "SERVING")]);
     let discovery = Discovery::start(list.clone());
     let settings = SETTINGS.replace("\"connectTimeoutMs\": 1000", "\"connectTimeoutMs\": 20000");
+    let settings = settings.replace("\"cancel\": true", allowed);
     let node = Node::start(&config(discovery.address, &list, &settings, 1024));
     until("discovery is watched", || discovery.watched.load(Ordering::SeqCst) > 0);
     let mut client = node.client();
@@ -235,29 +227,42 @@
     let before = node.descriptors();
     client.write(request("order", "r1").as_bytes());
     until("the node connects", || node.descriptors() > before);
-    discovery.push(&listing(2, false, &[target("a", address, "north", "DRAINING")]));
-    until("the node knows of the drain", || {
-        let mut up = node.client();
-        up.write(b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
-        up.read().is_some_and(|answer| answer.status() == 503)
-    });
-    let written = std::thread::spawn(move || {
-        let mut written = 0;
-        let ours = filling.len();
-        for stream in listener.incoming().take(ours + 1) {
-            let stream = stream.expect("it is accepted");
-            if filling.pop().is_none() {
-                stream.set_read_timeout(Some(PATIENCE)).expect("a time-out can be set");
-                written += { stream }.read(&mut [0; 64]).unwrap_or(0);
-            }
-        }
-        written
-    });
+    (blocked, discovery, node, client)
+}
+
+#[test]
+fn a_drain_told_while_connecting_is_kept() {
+    let (blocked, discovery, node, mut client) = waiting("\"cancel\": true");
+    discovery.push(&listing(2, false, &[target("a", blocked.address, "north", "DRAINING")]));
+    until("the node knows of the drain", || node.up() == Some(503));
+    let written = blocked.release();
     // Nothing was written, so trying again is harmless.
     assert!(client.read().expect("an answer").refuses());
     assert_eq!(written.join().expect("no panic"), 0);
 }
 
+#[test]
+fn a_server_that_moves_or_restarts_while_connecting_gets_nothing_by_the_old_connection() {
+    for restarts in [true, false] {
+        let (blocked, discovery, node, mut client) = waiting("\"cancel\": true");
+        let app = App::start(|_| Reply::ok("moved"));
+        // Another to go to tells too that the change has been heard.
+        let other = target("b", app.address, "north", "SERVING");
+        let changed = if restarts {
+            let entry = target("a", blocked.address, "north", "SERVING");
+            entry.replace("\"boot_ms\":0", "\"boot_ms\":1000")
+        } else {
+            target("a", app.address, "north", "SERVING")
+        };
+        discovery.push(&listing(2, false, &[changed, other]));
+        until("the change is heard", || node.ask(&request("read", "r")).body == b"moved");
+        let written = blocked.release();
+        let answer = client.read().expect("an answer");
+        assert_eq!(written.join().expect("no panic"), 0);
+        assert!(answer.body == b"moved" || answer.refuses(), "{answer:?}");
+    }
+}
+
 #[test]
 fn a_drained_server_gets_nothing_new() {
     let apps = [App::start(|_| Reply::ok("x")), App::start(|_| Reply::ok("x"))];
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -174,6 +174,44 @@
     }
 }
 
+/// An app server that takes no connection until it is released: its listener's queue is full.
+pub struct Blocked {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    filling: Vec<TcpStream>,
+}
+
+impl Blocked {
+    pub fn new() -> Self {
+        let socket =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        socket.listen(0).expect("it listens");
+        let listener: TcpListener = socket.into();
+        let address = listener.local_addr().expect("an address");
+        let mut filling = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(300)) {
+            filling.push(stream);
+        }
+        Self { address, listener, filling }
+    }
+
+    /// Takes the connection that waits, and gives how much was written to it first of all: 0 if it was closed.
+    pub fn release(self) -> std::thread::JoinHandle<usize> {
+        std::thread::spawn(move || {
+            let ours: Vec<_> = self.filling.iter().map(|s| s.local_addr().expect("an address")).collect();
+            for stream in self.listener.incoming() {
+                let mut stream = stream.expect("it is accepted");
+                if !ours.contains(&stream.peer_addr().expect("an address")) {
+                    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out can be set");
+                    return stream.read(&mut [0; 64]).unwrap_or(0);
+                }
+            }
+            0
+        })
+    }
+}
+
 /// One entry of the list, as discovery words it.
 pub fn target(uid: &str, address: SocketAddr, zone: &str, state: &str) -> String {
     format!(
