Write nothing for a request whose client has left, also where nothing may be cancelled

Seen (loopback, tests/node.rs on the code before, settings with `cancel` false): a client leaves while its request waits for a connection; when the connection comes up the request is written all the same. So is a second copy that was still connecting as the first one's answer went out. At fault: driver.rs, may_write: it took it that an attempt whose client has left has been given up, but the module withdraws attempts only where the settings allow it.

Now nothing is written for a request to which no answer is owed; such an attempt ends as never sent. Withdrawing what has been written stays with the module.

--- a/src/bin/ivygate/driver.rs
+++ b/src/bin/ivygate/driver.rs
@@ -401,7 +401,7 @@
             async move {
                 let end = match place {
                     Some(place) => {
-                        let left = || driver.may_write(server, place, give_up_at);
+                        let left = || driver.may_write(&id, server, place, give_up_at);
                         let request = || left().map(|left| message.request(left));
                         driver.upstream.attempt(server, place, &progress, once, request).await
                     }
@@ -420,13 +420,20 @@
         open.attempts.push(Attempt { server, sent_at: now, progress, task, timer, ended: false });
     }
 
-    /// The time left for an attempt whose first byte is about to be written, unless it must not be: the
-    /// server drains, is gone or is another by now, or its time is up.
-    fn may_write(&self, server: ServerId, place: Place, give_up_at: Millis) -> Option<Millis> {
+    /// The time left for an attempt whose first byte is about to be written, unless it must not be: nothing is
+    /// owed any more, the server drains, is gone or is another by now, or its time is up.
+    fn may_write(
+        &self,
+        id: &RequestId,
+        server: ServerId,
+        place: Place,
+        give_up_at: Millis,
+    ) -> Option<Millis> {
         let left = give_up_at - self.clock.now();
         let state = self.state.borrow();
+        let owed = state.requests.get(id).is_some_and(|open| open.answer.is_some());
         let serves = |s: &Listed| s.state == TargetState::Serving && s.place == place;
-        (state.servers.get(&server).is_some_and(serves) && left > 0.0).then_some(left)
+        (owed && state.servers.get(&server).is_some_and(serves) && left > 0.0).then_some(left)
     }
 
     /// Stops waiting for an attempt and closes its connection.
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -241,6 +241,15 @@
     assert_eq!(written.join().expect("no panic"), 0);
 }
 
+#[test]
+fn a_request_whose_client_left_while_connecting_is_not_written_where_nothing_is_cancelled() {
+    let (blocked, _discovery, node, client) = waiting("\"cancel\": false");
+    let before = node.descriptors();
+    drop(client);
+    until("the node has noticed", || node.descriptors() < before);
+    assert_eq!(blocked.release().join().expect("no panic"), 0);
+}
+
 #[test]
 fn a_server_that_moves_or_restarts_while_connecting_gets_nothing_by_the_old_connection() {
     for restarts in [true, false] {
