--- a/src/bin/ivygate/driver.rs
+++ b/src/bin/ivygate/driver.rs
@@ -6,7 +6,7 @@
 use crate::clock::Clock;
 use crate::discovery::{Listing, TargetState};
 use crate::request::Head;
-use crate::upstream::{End, Progress, Upstream};
+use crate::upstream::{End, Place, Progress, Upstream};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HeaderValue;
@@ -15,9 +15,8 @@
     Action, Arrival, Done, Event, Gateway, ListKind, Member, Millis, Outcome, RequestId, ServerId,
     ServerState,
 };
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
@@ -29,6 +28,10 @@
 /// When the last guard answers, before the client's deadline: later than any decision, early enough to
 /// arrive. In milliseconds.
 const GUARD: Millis = 5.0;
+/// Until discovery has been heard, a node that has just started is not ready for this long, in milliseconds:
+/// its list may be old, and what the agent holds counts as told at once. The agent answers at once, and while
+/// discovery is down there is nothing to be told.
+const HEAR: Millis = 300.0;
 /// Period in which idle connections are looked through, in milliseconds.
 const SWEEP: Millis = 500.0;
 /// A header whose value this node alone sets.
@@ -120,7 +123,7 @@
 
 struct Listed {
     uid: String,
-    address: SocketAddr,
+    place: Place,
     state: TargetState,
 }
 
@@ -140,6 +143,8 @@
     state: RefCell<State>,
     upstream: Upstream,
     clock: Clock,
+    /// From when on the node is ready, heard or not, if a server is known.
+    ready_at: Cell<Millis>,
     /// A timer became the first.
     sooner: Notify,
 }
@@ -157,8 +162,15 @@
             events: VecDeque::new(),
             actions: Vec::new(),
         };
-        let driver = Rc::new(Self { state: RefCell::new(state), upstream, clock, sooner: Notify::new() });
-        driver.set_timer(&mut driver.state.borrow_mut(), clock.now() + SWEEP, Timer::Sweep);
+        let now = clock.now();
+        let driver = Rc::new(Self {
+            state: RefCell::new(state),
+            upstream,
+            clock,
+            ready_at: Cell::new(now + HEAR),
+            sooner: Notify::new(),
+        });
+        driver.set_timer(&mut driver.state.borrow_mut(), now + SWEEP, Timer::Sweep);
         driver
     }
 
@@ -169,7 +181,13 @@
 
     /// Whether an app server is known that could serve.
     pub fn ready(&self) -> bool {
-        self.state.borrow().servers.values().any(|s| s.state == TargetState::Serving)
+        let serving = |s: &Listed| s.state == TargetState::Serving;
+        self.now() >= self.ready_at.get() && self.state.borrow().servers.values().any(serving)
+    }
+
+    /// Discovery has told what it has to tell.
+    pub fn heard(&self) {
+        self.ready_at.set(f64::NEG_INFINITY);
     }
 
     /// Takes a request; its one answer comes through the receiver. `None` if a request of the same id is
@@ -260,11 +278,15 @@
             });
             match target.endpoint {
                 Some(address) if !gone => {
-                    if target.state == TargetState::Draining {
+                    let place = Place { address, boot_ms: target.boot_ms };
+                    let another = |s: &Listed| s.place != place;
+                    if target.state == TargetState::Draining
+                        || state.servers.get(&server).is_some_and(another)
+                    {
                         self.upstream.forget(server);
                     }
                     state.names.insert(target.uid.clone(), server);
-                    let listed = Listed { uid: target.uid, address, state: target.state };
+                    let listed = Listed { uid: target.uid, place, state: target.state };
                     state.servers.insert(server, listed);
                 }
                 _ => self.remove(&mut state, server),
@@ -371,15 +393,18 @@
         let number = open.attempts.len() as u32;
         let give_up_at = if give_up_at > 0.0 { give_up_at.min(open.deadline) } else { open.deadline };
         let progress = Rc::new(Progress::default());
-        let address = servers.get(&server).map(|s| s.address);
+        let place = servers.get(&server).map(|s| s.place);
         let attempt = {
             let (driver, id, progress) = (self.clone(), id.clone(), progress.clone());
             let message = open.message.clone();
             let once = open.once;
             async move {
-                let request = || driver.may_write(server, give_up_at).map(|left| message.request(left));
-                let end = match address {
-                    Some(address) => driver.upstream.attempt(server, address, &progress, once, request).await,
+                let end = match place {
+                    Some(place) => {
+                        let left = || driver.may_write(&id, server, place, give_up_at);
+                        let request = || left().map(|left| message.request(left));
+                        driver.upstream.attempt(server, place, &progress, once, request).await
+                    }
                     None => End::bare(Outcome::Moot),
                 };
                 driver.attempt_ended(&id, number, end);
@@ -395,14 +420,20 @@
         open.attempts.push(Attempt { server, sent_at: now, progress, task, timer, ended: false });
     }
 
-    /// The time left for an attempt whose first byte is about to be written, unless it must not be: the
-    /// server drains or is gone by now, or its time is up. Where the client has left the attempt has been
-    /// given up, and never comes here.
-    fn may_write(&self, server: ServerId, give_up_at: Millis) -> Option<Millis> {
+    /// The time left for an attempt whose first byte is about to be written, unless it must not be: nothing is
+    /// owed any more, the server drains, is gone or is another by now, or its time is up.
+    fn may_write(
+        &self,
+        id: &RequestId,
+        server: ServerId,
+        place: Place,
+        give_up_at: Millis,
+    ) -> Option<Millis> {
         let left = give_up_at - self.clock.now();
         let state = self.state.borrow();
-        let serving = state.servers.get(&server).is_some_and(|s| s.state == TargetState::Serving);
-        (serving && left > 0.0).then_some(left)
+        let owed = state.requests.get(id).is_some_and(|open| open.answer.is_some());
+        let serves = |s: &Listed| s.state == TargetState::Serving && s.place == place;
+        (owed && state.servers.get(&server).is_some_and(serves) && left > 0.0).then_some(left)
     }
 
     /// Stops waiting for an attempt and closes its connection.
--- /dev/null
+++ b/tests/discovery.rs
@@ -0,0 +1,108 @@
+//! What discovery may do to a node: objects laid out in any way, silence.
+
+mod support;
+
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+use support::*;
+
+/// Two app servers and discovery that lists the first; the node is held to know that list.
+fn two() -> ([App; 2], Discovery, String) {
+    let apps = [App::start(|_| Reply::ok("old")), App::start(|_| Reply::ok("new"))];
+    let list = listing(1, true, &[target("a", apps[0].address, "north", "SERVING")]);
+    (apps, Discovery::start(list.clone()), list)
+}
+
+/// The change by which the second takes the place of the first.
+fn change(apps: &[App; 2]) -> String {
+    let gone = target("a", apps[0].address, "north", "DELETED");
+    listing(2, false, &[gone, target("b", apps[1].address, "north", "SERVING")])
+}
+
+fn indented(json: &str) -> String {
+    let value: serde_json::Value = serde_json::from_str(json).expect("JSON");
+    serde_json::to_string_pretty(&value).expect("JSON")
+}
+
+#[test]
+fn a_change_that_comes_indented_is_taken_as_it_is() {
+    for whole in [true, false] {
+        let (apps, discovery, list) = two();
+        let node = Node::start(&config(discovery.address, &list, SETTINGS, 1024));
+        let change = indented(&change(&apps));
+        if whole {
+            discovery.push(&change);
+        } else {
+            change.lines().for_each(|line| discovery.push(line));
+        }
+        until("the new server is used", || node.ask(&request("read", "r")).body == b"new");
+        let counts = (discovery.lists.load(Ordering::SeqCst), discovery.watched.load(Ordering::SeqCst));
+        assert_eq!(counts, (0, 1));
+    }
+}
+
+#[test]
+fn an_object_that_stops_half_way_is_not_waited_for() {
+    let (apps, discovery, list) = two();
+    let node = Node::start(&config(discovery.address, &list, SETTINGS, 1024));
+    let half = indented(&change(&apps));
+    let listed = listing(2, true, &[target("b", apps[1].address, "north", "SERVING")]);
+    discovery.set(listed);
+    discovery.write(&half[..half.len() / 2]);
+    until("the new server is used", || node.ask(&request("read", "r")).body == b"new");
+    assert_eq!(discovery.lists.load(Ordering::SeqCst), 1);
+}
+
+#[test]
+fn a_call_left_unanswered_keeps_no_other_from_being_made() {
+    let (apps, discovery, list) = two();
+    discovery.fall_silent(true);
+    let node = Node::start(&config(discovery.address, &list, SETTINGS, 1024));
+    until("a call that stays unanswered is ended", || discovery.held().1 > 0);
+    // Others were made while it was still open.
+    assert!(discovery.held().0 >= 2);
+    discovery.fall_silent(false);
+    until("discovery is watched", || discovery.watched.load(Ordering::SeqCst) == 1);
+    until("the others are ended", || {
+        let (calls, ended) = discovery.held();
+        calls == ended
+    });
+    discovery.push(&change(&apps));
+    until("the new server is used", || node.ask(&request("read", "r")).body == b"new");
+}
+
+#[test]
+fn a_watch_that_falls_silent_is_opened_anew_before_it_counts_as_told() {
+    let (_apps, discovery, list) = two();
+    let _node = Node::start(&config(discovery.address, &list, SETTINGS, 1024));
+    until("discovery is watched", || discovery.watched.load(Ordering::SeqCst) == 1);
+    let silent = Instant::now();
+    until("it is watched anew", || discovery.watched.load(Ordering::SeqCst) == 2);
+    // It counts as told after 6 s, and the answer may still take its time.
+    assert!(silent.elapsed() < Duration::from_millis(4500), "{:?}", silent.elapsed());
+}
+
+#[test]
+fn a_node_that_starts_with_an_old_list_is_not_ready_before_it_is_told() {
+    let (apps, discovery, list) = two();
+    let drained = target("a", apps[0].address, "north", "DRAINING");
+    discovery.fall_silent(true);
+    let node = Node::spawn(&config(discovery.address, &list, SETTINGS, 1024));
+    assert_eq!(node.up(), Some(503));
+    discovery.fall_silent(false);
+    discovery.push(&listing(2, false, &[drained]));
+    // Not ready by that list either, and it holds.
+    for _ in 0..20 {
+        assert_eq!(node.up(), Some(503));
+    }
+    discovery.push(&listing(3, false, &[target("b", apps[1].address, "north", "SERVING")]));
+    until("the node is up", || node.up() == Some(200));
+}
+
+#[test]
+fn a_node_that_starts_while_discovery_is_silent_serves_by_the_list_it_knows() {
+    let (_apps, discovery, list) = two();
+    discovery.fall_silent(true);
+    let node = Node::start(&config(discovery.address, &list, SETTINGS, 1024));
+    assert_eq!(node.ask(&request("read", "r")).body, b"old");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -174,6 +174,44 @@
     }
 }
 
+/// An app server that takes no connection until it is released: its listener's queue is full.
+pub struct Blocked {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    filling: Vec<TcpStream>,
+}
+
+impl Blocked {
+    pub fn new() -> Self {
+        let socket =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        socket.listen(0).expect("it listens");
+        let listener: TcpListener = socket.into();
+        let address = listener.local_addr().expect("an address");
+        let mut filling = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(300)) {
+            filling.push(stream);
+        }
+        Self { address, listener, filling }
+    }
+
+    /// Takes the connection that waits, and gives how much was written to it first of all: 0 if it was closed.
+    pub fn release(self) -> std::thread::JoinHandle<usize> {
+        std::thread::spawn(move || {
+            let ours: Vec<_> = self.filling.iter().map(|s| s.local_addr().expect("an address")).collect();
+            for stream in self.listener.incoming() {
+                let mut stream = stream.expect("it is accepted");
+                if !ours.contains(&stream.peer_addr().expect("an address")) {
+                    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out can be set");
+                    return stream.read(&mut [0; 64]).unwrap_or(0);
+                }
+            }
+            0
+        })
+    }
+}
+
 /// One entry of the list, as discovery words it.
 pub fn target(uid: &str, address: SocketAddr, zone: &str, state: &str) -> String {
     format!(
@@ -185,12 +223,23 @@
     format!(r#"{{"rev":{rev},"all":{all},"targets":[{}]}}"#, targets.join(","))
 }
 
+/// Whether the other side has closed a connection on which nothing is to be read.
+pub fn is_over(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).expect("it can be set");
+    let peeked = stream.peek(&mut [0]);
+    stream.set_nonblocking(false).expect("it can be set");
+    !peeked.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+}
+
 /// Discovery; it gives the list that it has been set to and pushes lines to those who watch.
 #[derive(Clone)]
 pub struct Discovery {
     pub address: SocketAddr,
     list: Arc<Mutex<String>>,
     watches: Arc<Mutex<Vec<TcpStream>>>,
+    silent: Arc<AtomicBool>,
+    /// Calls that came while it was silent; they are never answered.
+    held: Arc<Mutex<Vec<TcpStream>>>,
     /// How often the list was asked for.
     pub lists: Arc<AtomicUsize>,
     /// How often a watch was opened.
@@ -204,6 +253,8 @@
             address: listener.local_addr().expect("an address"),
             list: Arc::new(Mutex::new(list)),
             watches: Arc::default(),
+            silent: Arc::default(),
+            held: Arc::default(),
             lists: Arc::default(),
             watched: Arc::default(),
         };
@@ -219,7 +270,9 @@
     fn answer(&self, stream: TcpStream) {
         let mut stream = BufReader::new(stream);
         let Some(request) = read_message(&mut stream) else { return };
-        if request.start.contains("stream=1") {
+        if self.silent.load(Ordering::SeqCst) {
+            self.held.lock().expect("no panic").push(stream.into_inner());
+        } else if request.start.contains("stream=1") {
             let _ = stream
                 .get_mut()
                 .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
@@ -237,11 +290,27 @@
         *self.list.lock().expect("no panic") = list;
     }
 
+    /// Takes calls and leaves them unanswered from now on, or answers new ones again.
+    pub fn fall_silent(&self, silent: bool) {
+        self.silent.store(silent, Ordering::SeqCst);
+    }
+
+    /// How many calls were left unanswered, and how many of those the node has ended.
+    pub fn held(&self) -> (usize, usize) {
+        let held = self.held.lock().expect("no panic");
+        (held.len(), held.iter().filter(|call| is_over(call)).count())
+    }
+
     /// Writes a line to all who watch, of which there must be one.
     pub fn push(&self, line: &str) {
+        self.write(&format!("{line}\n"));
+    }
+
+    /// Writes a piece of text to all who watch, of which there must be one.
+    pub fn write(&self, text: &str) {
         until("discovery is watched", || !self.watches.lock().expect("no panic").is_empty());
         for watch in self.watches.lock().expect("no panic").iter_mut() {
-            let _ = watch.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes());
+            let _ = watch.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes());
         }
     }
 
@@ -297,7 +366,15 @@
         Self::start(&config(discovery.address, &list, SETTINGS, 1024))
     }
 
+    /// Starts a node and waits until it is up.
     pub fn start(config: &str) -> Self {
+        let node = Self::spawn(config);
+        until("the node is up", || node.up() == Some(200));
+        node
+    }
+
+    /// Starts a node and waits until it listens.
+    pub fn spawn(config: &str) -> Self {
         let path = scratch(config);
         let mut child = Command::new(env!("CARGO_BIN_EXE_ivygate"))
             .env("RELAY_CONFIG", &path)
@@ -310,13 +387,14 @@
         let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
         let address = address.unwrap_or_else(|| panic!("no address in '{line}'"));
         std::thread::spawn(move || std::io::copy(&mut lines, &mut std::io::sink()));
-        let node = Self { address, config: path, child };
-        until("the node is up", || {
-            let mut client = node.client();
-            client.write(b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
-            client.read().is_some_and(|answer| answer.status() == 200)
-        });
-        node
+        Self { address, config: path, child }
+    }
+
+    /// What it says of its being up.
+    pub fn up(&self) -> Option<u16> {
+        let mut client = self.client();
+        client.write(b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
+        client.read().map(|answer| answer.status())
     }
 
     pub fn client(&self) -> Client {
