Notice that a client has left, whatever lies unread in front of its end

Seen (loopback, tests/leaving.rs on the code before): a client whose request waits for a connection writes another request, or a part of one, behind it and leaves; the node holds both its connections until the request's time is up, and would write the request when the connection comes up. With nothing behind the request it notices at once. At fault: server.rs leaves the watching to hyper, whose `mid_message_detect_eof` (conn.rs) looks no further once it holds a byte of what comes next.

Ruled out: a client that only half-closes, which was noticed where nothing lay in front. The test of a drain told while connecting shares its set-up now; what it asserts is unchanged.

--- /dev/null
+++ b/src/bin/ivygate/inbound.rs
@@ -0,0 +1,118 @@
+//! A client's stream. While a request is open, what its client goes on to say is read ahead: hyper reads no
+//! further than it can hold of a next request, and would not notice behind it that the client has left.
+
+use bytes::{Buf, BytesMut};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Most that is kept of what comes ahead of an answer: a request with the largest body. Clients ask for one
+/// thing at a time, so that there usually is nothing.
+const AHEAD_MOST: usize = 80 << 10;
+/// Read at a time.
+const PIECE: usize = 4 << 10;
+
+/// A stream that is shared by hyper, which reads and writes it, and by whoever watches for its end.
+#[derive(Clone)]
+pub struct Inbound(Rc<Shared>);
+
+struct Shared {
+    stream: RefCell<TcpStream>,
+    /// Read ahead, and not yet by hyper.
+    ahead: RefCell<BytesMut>,
+    /// More came than is kept.
+    overrun: Cell<bool>,
+    /// Called when hyper has read something.
+    on_read: Box<dyn Fn()>,
+}
+
+impl Inbound {
+    /// A stream that calls `on_read` whenever hyper has read something of it.
+    pub fn new(stream: TcpStream, on_read: impl Fn() + 'static) -> Self {
+        let (ahead, overrun) = (RefCell::default(), Cell::default());
+        Self(Rc::new(Shared { stream: RefCell::new(stream), ahead, overrun, on_read: Box::new(on_read) }))
+    }
+
+    /// Whether the client has sent more ahead of its answer than is kept, so that nothing behind that answer
+    /// can be read.
+    pub fn overrun(&self) -> bool {
+        self.0.overrun.get()
+    }
+
+    /// Reads ahead; ready once the client has ended its sending or the connection has broken.
+    pub fn poll_end(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut stream = self.0.stream.borrow_mut();
+        let mut ahead = self.0.ahead.borrow_mut();
+        let mut space = [MaybeUninit::uninit(); PIECE];
+        loop {
+            let mut buf = ReadBuf::uninit(&mut space);
+            match Pin::new(&mut *stream).poll_read(cx, &mut buf) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Ok(())) if !buf.filled().is_empty() => {}
+                Poll::Ready(_) => return Poll::Ready(()),
+            }
+            if ahead.len() + buf.filled().len() > AHEAD_MOST {
+                self.0.overrun.set(true);
+            }
+            // What is too much is read all the same, and dropped: behind it may stand the end.
+            if !self.0.overrun.get() {
+                ahead.extend_from_slice(buf.filled());
+            }
+        }
+    }
+}
+
+impl AsyncRead for Inbound {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let mut ahead = self.0.ahead.borrow_mut();
+        let before = buf.filled().len();
+        if !ahead.is_empty() {
+            let taken = ahead.len().min(buf.remaining());
+            buf.put_slice(&ahead[..taken]);
+            ahead.advance(taken);
+        } else if self.0.overrun.get() {
+            // Something is missing here: to hyper it is the end.
+            return Poll::Ready(Ok(()));
+        } else {
+            match Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf) {
+                Poll::Ready(Ok(())) => {}
+                other => return other,
+            }
+        }
+        if buf.filled().len() > before {
+            (self.0.on_read)();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Inbound {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.stream.borrow().is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_shutdown(cx)
+    }
+}
--- a/src/bin/ivygate/main.rs
+++ b/src/bin/ivygate/main.rs
@@ -6,9 +6,11 @@
 mod config;
 mod discovery;
 mod driver;
+mod inbound;
 mod objects;
 mod request;
 mod server;
+mod socket;
 mod upstream;
 
 use backoff::Pace;
--- a/src/bin/ivygate/server.rs
+++ b/src/bin/ivygate/server.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::millis;
 use crate::driver::{Answer, Ask, Driver, Message};
+use crate::inbound::Inbound;
 use crate::request::Reader;
 use crate::upstream::BODY_MOST;
 use bytes::Bytes;
@@ -16,13 +17,11 @@
 use ivygate::{Millis, RequestId};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::future::Future;
-use std::io;
-use std::pin::{pin, Pin};
+use std::future::{poll_fn, Future};
+use std::pin::pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::Poll;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
@@ -269,22 +268,33 @@
     }
 
     async fn serve(self: Rc<Self>, stream: TcpStream, client: Rc<Client>) {
+        let reader = client.clone();
+        let inbound = Inbound::new(stream, move || {
+            reader.reading();
+        });
         let service = service_fn(|request| {
-            let (server, client) = (self.clone(), client.clone());
+            let (server, client, stream) = (self.clone(), client.clone(), inbound.clone());
             async move {
                 let _served = Served(client.clone());
-                server.answer(request, &client).await
+                server.answer(request, &client, &stream).await
             }
         });
-        let stream = Watched { stream, client: client.clone() };
-        let connection =
-            http1::Builder::new().max_buf_size(BUFFER).serve_connection(TokioIo::new(stream), service);
+        let connection = http1::Builder::new()
+            .max_buf_size(BUFFER)
+            .serve_connection(TokioIo::new(inbound.clone()), service);
         let mut connection = pin!(connection);
         loop {
+            let left = poll_fn(|cx| match client.phase.get() {
+                Phase::Open => inbound.poll_end(cx),
+                // hyper reads by itself. Its turn comes first, so that a request which it opens is seen here.
+                Phase::Idle | Phase::Reading => Poll::Pending,
+            });
             tokio::select! {
                 biased;
-                // Malformed input is answered by hyper; a client that broke off is noticed by `Leaving`.
+                // Malformed input is answered by hyper.
                 _ = connection.as_mut() => return,
+                // Nobody waits for the open request any more, which `Leaving` tells the driver.
+                () = left => return,
                 () = client.close.notified() => {}
             }
             match client.phase.get() {
@@ -314,6 +324,7 @@
         &self,
         request: Request<Incoming>,
         client: &Client,
+        inbound: &Inbound,
     ) -> Result<Response<Full<Bytes>>, hyper::Error> {
         let begun = client.reading();
         let (mut response, stays) = if request.uri().path() == "/up" {
@@ -333,7 +344,7 @@
         };
         // Guards against what may lie behind a request that was not read to its end or by its own rules, and
         // against a client that goes on with more of the kind at full speed.
-        if self.ending.get() || !stays {
+        if self.ending.get() || !stays || inbound.overrun() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
@@ -353,7 +364,7 @@
     async fn ask(&self, ask: Ask) -> Option<Response<Full<Bytes>>> {
         let id = ask.head.id.clone();
         let answer = self.driver.arrive(ask)?;
-        // hyper drops this future when the client closes its connection.
+        // This future is dropped when the client ends its connection.
         let mut leaving = Leaving { driver: &self.driver, id: Some(id) };
         let answer = answer.await;
         leaving.id = None;
@@ -485,53 +496,6 @@
     }
 }
 
-/// A client's stream that notes when a request begins to come in.
-struct Watched {
-    stream: TcpStream,
-    client: Rc<Client>,
-}
-
-impl AsyncRead for Watched {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.client.reading();
-        }
-        read
-    }
-}
-
-impl AsyncWrite for Watched {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
-
 /// Tells the driver that the client has left, unless its answer came first.
 struct Leaving<'a> {
     driver: &'a Rc<Driver>,
--- a/src/bin/ivygate/upstream.rs
+++ b/src/bin/ivygate/upstream.rs
@@ -1,6 +1,7 @@
 //! Connections to app servers and the attempts on them. One request at a time on each connection.
 
 use crate::clock::millis;
+use crate::socket::has_news;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -10,12 +11,10 @@
 use hyper_util::rt::TokioIo;
 use ivygate::{Links, Load, Millis, Outcome, ServerId};
 use serde::Deserialize;
-use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::{poll_fn, Future};
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -419,12 +418,6 @@
 }
 
 impl Counted {
-    /// Whether the other side has sent something that is still unread, or has ended its sending.
-    fn has_news(&self) -> bool {
-        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
-        !peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
-    }
-
     fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(bytes)) = &written {
             self.written.set(self.written.get() + *bytes as u64);
@@ -440,7 +433,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         // Guards against a stray second answer that tokio has not noticed yet.
-        if self.resting.get() && self.has_news() {
+        if self.resting.get() && has_news(&self.stream) {
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
         Pin::new(&mut self.stream).poll_read(cx, buf)
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -211,25 +211,6 @@
     assert!(app.seen() < 4);
 }
 
-/// A node whose only server, `a`, does not take its connection yet, with settings that leave time for that, and
-/// a client whose request waits for it.
-fn waiting(allowed: &str) -> (Blocked, Discovery, Node, Client) {
-    let blocked = Blocked::new();
-    let list = listing(1, true, &[target("a", blocked.address, "north", "SERVING")]);
-    let discovery = Discovery::start(list.clone());
-    let settings = SETTINGS.replace("\"connectTimeoutMs\": 1000", "\"connectTimeoutMs\": 20000");
-    let settings = settings.replace("\"cancel\": true", allowed);
-    let node = Node::start(&config(discovery.address, &list, &settings, 1024));
-    until("discovery is watched", || discovery.watched.load(Ordering::SeqCst) > 0);
-    let mut client = node.client();
-    client.write(b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
-    assert_eq!(client.read().map(|answer| answer.status()), Some(200));
-    let before = node.descriptors();
-    client.write(request("order", "r1").as_bytes());
-    until("the node connects", || node.descriptors() > before);
-    (blocked, discovery, node, client)
-}
-
 #[test]
 fn a_drain_told_while_connecting_is_kept() {
     let (blocked, discovery, node, mut client) = waiting("\"cancel\": true");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -314,6 +314,17 @@
         }
     }
 
+    /// Writes an empty line to all who watch, over and over, so that no watch is silent.
+    pub fn beat(&self) {
+        let watches = self.watches.clone();
+        std::thread::spawn(move || loop {
+            for watch in watches.lock().expect("no panic").iter_mut() {
+                let _ = watch.write_all(b"1\r\n\n\r\n");
+            }
+            std::thread::sleep(Duration::from_millis(500));
+        });
+    }
+
     /// Ends all watches.
     pub fn hang_up(&self) {
         self.watches.lock().expect("no panic").clear();
@@ -445,6 +456,19 @@
         line.trim().trim_end_matches(" kB").parse().expect("a number")
     }
 
+    /// File descriptors that it holds once connections that have ended are closed: the same number for some
+    /// time.
+    pub fn settled_descriptors(&self) -> usize {
+        let (mut last, mut same) = (0, 0);
+        until("the descriptors stay as they are", || {
+            let now = self.descriptors();
+            same = if now == last { same + 1 } else { 0 };
+            last = now;
+            same == 20
+        });
+        last
+    }
+
     /// File descriptors that it holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
@@ -479,6 +503,27 @@
     }
 }
 
+/// A node whose only server, `a`, does not take its connection yet, with settings that leave time for that, and
+/// a client whose request waits for it.
+pub fn waiting(allowed: &str) -> (Blocked, Discovery, Node, Client) {
+    let blocked = Blocked::new();
+    let list = listing(1, true, &[target("a", blocked.address, "north", "SERVING")]);
+    let discovery = Discovery::start(list.clone());
+    let settings = SETTINGS.replace("\"connectTimeoutMs\": 1000", "\"connectTimeoutMs\": 60000");
+    let settings =
+        settings.replace("\"cancel\": true", allowed).replace("\"aimMs\": 8000", "\"aimMs\": 40000");
+    let node = Node::start(&config(discovery.address, &list, &settings, 1024));
+    until("discovery is watched", || discovery.watched.load(Ordering::SeqCst) > 0);
+    let mut client = node.client();
+    client.write(b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
+    assert_eq!(client.read().map(|answer| answer.status()), Some(200));
+    let before = node.descriptors();
+    // Its time and the connection's are longer than any test waits.
+    client.write(request_with("order", "r1", "large", "40000m").as_bytes());
+    until("the node connects", || node.descriptors() > before);
+    (blocked, discovery, node, client)
+}
+
 /// A request of a class with an id; unsafe and keyed ones carry a small body.
 pub fn request(class: &str, id: &str) -> String {
     request_with(class, id, "large", "15000m")
