Take what only the kernel knows of before a connection or the listener is closed

Seen (tests of server.rs on the code before): a request that is written to an idle connection after tokio last asked the system, and before the word to close, is cut off unanswered: left "", right "HTTP/1.1 503". A connection that comes in the same gap before the listener is closed is reset with its request in it (1 client taken, not 2). On a slow core the gap is as long as one round of tasks. At fault: server.rs, serve, which asks hyper to end without a look at the socket, and accept, which empties the queue by tokio's notion of it.

While the node winds up, idle connections go on being closed meanwhile. A connection told to close while a request was open was not watched for its client's leaving for up to a second; it is watched throughout now, by one function. Ruled out: requests coming in as the wind-up begins, which are read and answered with `Connection: close`.

--- a/src/bin/ivygate/inbound.rs
+++ b/src/bin/ivygate/inbound.rs
@@ -1,6 +1,7 @@
 //! A client's stream. While a request is open, what its client goes on to say is read ahead: hyper reads no
 //! further than it can hold of a next request, and would not notice behind it that the client has left.
 
+use crate::socket::has_news;
 use bytes::{Buf, BytesMut};
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -38,6 +39,11 @@
         Self(Rc::new(Shared { stream: RefCell::new(stream), ahead, overrun, on_read: Box::new(on_read) }))
     }
 
+    /// Whether something has come that hyper has not read, be it the end.
+    pub fn has_news(&self) -> bool {
+        !self.0.ahead.borrow().is_empty() || has_news(&self.0.stream.borrow())
+    }
+
     /// Whether the client has sent more ahead of its answer than is kept, so that nothing behind that answer
     /// can be read.
     pub fn overrun(&self) -> bool {
--- a/src/bin/ivygate/server.rs
+++ b/src/bin/ivygate/server.rs
@@ -5,7 +5,7 @@
 use crate::driver::{Answer, Ask, Driver, Message};
 use crate::inbound::Inbound;
 use crate::request::Reader;
-use crate::upstream::BODY_MOST;
+use crate::upstream::{out_of_descriptors, BODY_MOST};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -15,12 +15,14 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use ivygate::{Millis, RequestId};
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::{poll_fn, Future};
-use std::pin::pin;
+use std::io;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -41,7 +43,8 @@
 /// A client that has not asked for anything yet gives way at the bound after this time: a usual one asks as
 /// soon as it has connected.
 const SILENT_LEAST: Duration = Duration::from_millis(100);
-/// And is listened to for this much longer before it is closed: what it has sent may not have been seen yet.
+/// And is listened to for this much longer before it is closed, as is one of which something lies unread: what
+/// it has sent may not have been seen yet.
 const LAST_LOOK: Duration = Duration::from_millis(10);
 /// One part in so many of the connections is kept free for those that come next.
 const ROOM_PART: usize = 8;
@@ -179,9 +182,20 @@
                 () = self.stop.notified() => break,
             }
         }
-        // What the machine has accepted by now counts as taken.
-        while let Some(Ok((stream, _))) = now_or_never(listener.accept()).await {
-            self.take(stream);
+        // What the machine has accepted by now counts as taken. Asked past tokio, which may not have heard yet.
+        loop {
+            self.make_room();
+            if self.clients.borrow().len() >= self.most {
+                let _ = timeout(ACCEPT_PAUSE, self.freed.notified()).await;
+                continue;
+            }
+            match accept_now(&listener) {
+                Ok(stream) => self.take(stream),
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(error) if out_of_descriptors(&error) => sleep(ACCEPT_PAUSE).await,
+                // None is left.
+                Err(_) => return,
+            }
         }
     }
 
@@ -192,12 +206,7 @@
         self.close_idle(FIRST_REQUEST);
         sleep(WIND_UP_ACCEPT).await;
         self.stop.notify_one();
-        // It ends by itself; a failure of its own changes nothing about the end.
-        let _ = accepting.await;
-        loop {
-            if self.clients.borrow().is_empty() {
-                return;
-            }
+        while !accepting.is_finished() || !self.clients.borrow().is_empty() {
             self.close_idle(FIRST_REQUEST);
             let _ = timeout(FIRST_REQUEST / 2, self.freed.notified()).await;
         }
@@ -284,37 +293,40 @@
             .serve_connection(TokioIo::new(inbound.clone()), service);
         let mut connection = pin!(connection);
         loop {
-            let left = poll_fn(|cx| match client.phase.get() {
-                Phase::Open => inbound.poll_end(cx),
-                // hyper reads by itself. Its turn comes first, so that a request which it opens is seen here.
-                Phase::Idle | Phase::Reading => Poll::Pending,
-            });
             tokio::select! {
                 biased;
-                // Malformed input is answered by hyper.
-                _ = connection.as_mut() => return,
-                // Nobody waits for the open request any more, which `Leaving` tells the driver.
-                () = left => return,
+                () = poll_fn(|cx| poll_end(connection.as_mut(), &client, &inbound, cx)) => return,
                 () = client.close.notified() => {}
             }
+            let served = client.served.get();
             match client.phase.get() {
                 // The word came too late: a request has come in whole meanwhile, and is answered.
-                Phase::Open => {}
+                Phase::Open => {
+                    connection.as_mut().graceful_shutdown();
+                    continue;
+                }
                 // Guards the descriptors against clients that connect and send nothing, or never the rest:
                 // there is no answer that could still be on its way to them.
                 Phase::Reading => return,
-                Phase::Idle if client.served.get() == 0 => {
-                    let ended = timeout(LAST_LOOK, connection.as_mut()).await.is_ok();
-                    if ended || (client.phase.get() == Phase::Idle && client.served.get() == 0) {
+                // A request that lies in the kernel's buffer has been taken, though hyper has not seen it.
+                Phase::Idle if served == 0 || inbound.has_news() => {
+                    let end = poll_fn(|cx| poll_end(connection.as_mut(), &client, &inbound, cx));
+                    if timeout(LAST_LOOK, end).await.is_ok() {
+                        return;
+                    }
+                    if client.phase.get() != Phase::Idle || client.served.get() != served {
+                        client.leaving.set(false);
+                        continue;
+                    }
+                    if served == 0 {
                         return;
                     }
-                    client.leaving.set(false);
-                    continue;
                 }
                 Phase::Idle => {}
             }
             connection.as_mut().graceful_shutdown();
-            if timeout(CLOSING, connection.as_mut()).await.is_ok() || client.phase.get() != Phase::Open {
+            let end = poll_fn(|cx| poll_end(connection.as_mut(), &client, &inbound, cx));
+            if timeout(CLOSING, end).await.is_ok() || client.phase.get() != Phase::Open {
                 return;
             }
         }
@@ -410,6 +422,25 @@
     }
 }
 
+/// Goes on with a client's connection; ready once it has ended, or nobody waits for its open request any more.
+fn poll_end<C: Future>(
+    connection: Pin<&mut C>,
+    client: &Client,
+    inbound: &Inbound,
+    cx: &mut Context<'_>,
+) -> Poll<()> {
+    // Malformed input is answered by hyper.
+    if connection.poll(cx).is_ready() {
+        return Poll::Ready(());
+    }
+    match client.phase.get() {
+        // `Leaving` tells the driver.
+        Phase::Open => inbound.poll_end(cx),
+        // hyper reads by itself. Its turn comes first, so that a request which it opens is seen here.
+        Phase::Idle | Phase::Reading => Poll::Pending,
+    }
+}
+
 /// Why a request is not taken.
 enum Unfit {
     /// It is answered so.
@@ -477,13 +508,11 @@
     response
 }
 
-async fn now_or_never<T>(future: impl Future<Output = T>) -> Option<T> {
-    let mut future = pin!(future);
-    std::future::poll_fn(|cx| match future.as_mut().poll(cx) {
-        Poll::Ready(value) => Poll::Ready(Some(value)),
-        Poll::Pending => Poll::Ready(None),
-    })
-    .await
+/// Takes a connection from the kernel's queue; the error is `WouldBlock` where there is none.
+fn accept_now(listener: &TcpListener) -> io::Result<TcpStream> {
+    let (socket, _) = SockRef::from(listener).accept()?;
+    socket.set_nonblocking(true)?;
+    TcpStream::from_std(socket.into())
 }
 
 /// Marks a request as answered, or given up, when it is dropped.
@@ -522,3 +551,95 @@
         self.server.freed.notify_one();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::clock::Clock;
+    use crate::upstream::Upstream;
+    use ivygate::{Gateway, Setup};
+    use std::io::{Read, Write};
+    use tokio::task::{yield_now, LocalSet};
+
+    const SETTINGS: &str = r#"{
+        "allowed": {"cancel": true, "mayProbe": false, "mostTries": 5, "retryAfter": true, "secondCopies": false},
+        "az": "a", "balancers": 1, "discovery": "automatic", "rank": 0, "prices": {},
+        "classes": [{"name": "read", "aimMs": 1000, "deadlineMs": 2000, "worth": 2, "effect": "safe"}],
+        "contracts": [{"name": "large", "worthFactor": 1}],
+        "rules": {"coldFrom": 0.2, "warmAfterMs": 9000, "fallMultiple": 2, "overloadForMs": 1000}}"#;
+
+    /// A server, its listener, and a client that has connected to it.
+    async fn server() -> (Rc<Server>, TcpListener, std::net::TcpStream) {
+        let setup = Setup::parse(SETTINGS).expect("settings");
+        let (bounds, links) = (setup.bounds(), setup.links());
+        let settings = setup.settings().expect("settings");
+        let reader = Reader::new(&settings, bounds);
+        let gateway = Gateway::new(settings, 1).expect("settings");
+        let driver = Driver::new(gateway, Clock::new(), Upstream::new(links, 10));
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let client = std::net::TcpStream::connect(listener.local_addr().expect("an address"));
+        (Server::new(driver, reader, 10), listener, client.expect("it connects"))
+    }
+
+    fn ask(client: &mut std::net::TcpStream) {
+        client.write_all(b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n").expect("it is written");
+    }
+
+    /// The first line of an answer, once the server has had the time for it.
+    async fn status(client: &mut std::net::TcpStream) -> String {
+        client.set_nonblocking(true).expect("it can be set");
+        let mut text = [0; 1024];
+        loop {
+            match client.read(&mut text) {
+                Ok(read) => {
+                    let text = String::from_utf8_lossy(&text[..read]).into_owned();
+                    return text.lines().next().unwrap_or_default().to_owned();
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => yield_now().await,
+                Err(error) => return error.to_string(),
+            }
+        }
+    }
+
+    #[tokio::test]
+    async fn a_connection_that_only_the_kernel_knows_of_is_taken_before_the_listener_is_closed() {
+        let test = async {
+            let (server, listener, first) = server().await;
+            let address = listener.local_addr().expect("an address");
+            let accepting = tokio::task::spawn_local(server.clone().accept(listener));
+            // The queue is empty then, and tokio knows it.
+            while server.clients.borrow().is_empty() {
+                yield_now().await;
+            }
+            yield_now().await;
+            // From here on nothing is polled before the word to stop.
+            let mut second = std::net::TcpStream::connect(address).expect("it connects");
+            ask(&mut second);
+            server.stop.notify_one();
+            accepting.await.expect("no panic");
+            assert_eq!(server.clients.borrow().len(), 2);
+            assert_eq!(status(&mut second).await, "HTTP/1.1 503 Service Unavailable");
+            drop(first);
+        };
+        LocalSet::new().run_until(test).await;
+    }
+
+    #[tokio::test]
+    async fn an_idle_connection_is_not_closed_over_a_request_that_only_the_kernel_knows_of() {
+        let test = async {
+            let (server, listener, mut client) = server().await;
+            server.take(listener.accept().await.expect("it is accepted").0);
+            ask(&mut client);
+            assert_eq!(status(&mut client).await, "HTTP/1.1 503 Service Unavailable");
+            let known = server.clients.borrow().values().next().expect("a client").clone();
+            // From here on nothing is polled before the word to close.
+            ask(&mut client);
+            known.close.notify_one();
+            assert_eq!(status(&mut client).await, "HTTP/1.1 503 Service Unavailable");
+            // Without one it closes.
+            known.close.notify_one();
+            assert_eq!(status(&mut client).await, "");
+        };
+        LocalSet::new().run_until(test).await;
+    }
+}
