Answer all that is open before a node that was told to end may be killed

Seen (loopback, tests/node.rs on the code before): requests that wait 40 s for a silent server are still open long after SIGTERM, while SIGKILL comes as early as 3.7 s after it; what it finds unanswered gets a reset, not its one final answer. At fault: server.rs, wind_up, which waits for every request's own deadline.

Now, at the signal, the driver is told by when all is to be answered: 0.2 s before the earliest kill, that is 0.7 s behind the longest deadline of all classes or 3 s, whichever is less. The guard of each open request, and of each that comes yet, is set no later than that; the module is told that shorter time and plans its attempts by it.

--- a/src/bin/ivygate/driver.rs
+++ b/src/bin/ivygate/driver.rs
@@ -134,6 +134,8 @@
     timer_number: u64,
     servers: HashMap<ServerId, Listed>,
     names: HashMap<String, ServerId>,
+    /// By when all is to be answered, whatever clients would wait.
+    end_at: Millis,
     events: VecDeque<Event>,
     actions: Vec<Action>,
 }
@@ -159,6 +161,7 @@
             timer_number: 0,
             servers: HashMap::new(),
             names: HashMap::new(),
+            end_at: f64::INFINITY,
             events: VecDeque::new(),
             actions: Vec::new(),
         };
@@ -199,8 +202,9 @@
             return None;
         }
         let (answer, receiver) = oneshot::channel();
-        let guard = self.set_timer(&mut state, ask.deadline - GUARD, Timer::Guard(head.id.clone()));
-        let deadline = ask.deadline - WAY;
+        let deadline = ask.deadline.min(state.end_at);
+        let guard = self.set_timer(&mut state, deadline - GUARD, Timer::Guard(head.id.clone()));
+        let deadline = deadline - WAY;
         let open = Open {
             message: Rc::new(ask.message),
             once: head.once,
@@ -223,6 +227,24 @@
         Some(receiver)
     }
 
+    /// The node is to end: whatever is open, or comes yet, is answered by then.
+    pub fn end_by(self: &Rc<Self>, end_at: Millis) {
+        let mut state = self.state.borrow_mut();
+        state.end_at = end_at;
+        let waiting = state.requests.iter().filter(|(_, open)| open.answer.is_some());
+        let late: Vec<_> = waiting
+            .filter(|(_, open)| open.guard.0 > micros(end_at - GUARD))
+            .map(|(id, open)| (id.clone(), open.guard))
+            .collect();
+        for (id, guard) in late {
+            state.timers.remove(&guard);
+            let guard = self.set_timer(&mut state, end_at - GUARD, Timer::Guard(id.clone()));
+            if let Some(open) = state.requests.get_mut(&id) {
+                open.guard = guard;
+            }
+        }
+    }
+
     /// The client has left: nothing is owed any more, and what is out for it is given up.
     pub fn client_gone(self: &Rc<Self>, id: &RequestId) {
         let mut state = self.state.borrow_mut();
--- a/src/bin/ivygate/request.rs
+++ b/src/bin/ivygate/request.rs
@@ -19,6 +19,7 @@
     classes: Vec<(Arc<str>, Effect)>,
     plans: Vec<Arc<str>>,
     bounds: Bounds,
+    longest_deadline: Millis,
 }
 
 /// What a head says, checked.
@@ -49,9 +50,15 @@
             classes: settings.classes.iter().map(|c| (c.name.as_str().into(), c.effect)).collect(),
             plans: settings.plans.iter().map(|p| p.name.as_str().into()).collect(),
             bounds,
+            longest_deadline: settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max),
         }
     }
 
+    /// The longest time that a client of any class waits, by the settings.
+    pub fn longest_deadline(&self) -> Millis {
+        self.longest_deadline
+    }
+
     /// Reads a head.
     ///
     /// # Errors
--- a/src/bin/ivygate/server.rs
+++ b/src/bin/ivygate/server.rs
@@ -59,6 +59,12 @@
 const WIND_UP_IDLE: Duration = Duration::from_millis(500);
 /// And new ones are taken for this much longer, for requests that crossed the end of an idle one.
 const WIND_UP_ACCEPT: Duration = Duration::from_millis(150);
+/// The node is left this long after the signal to end, beyond the longest time that a client waits ...
+const KILL: Millis = 700.0;
+/// ... which counts for no more than this.
+const KILL_WAIT_MOST: Millis = 3_000.0;
+/// Kept before the kill for the answers to go out.
+const KILL_MARGIN: Millis = 200.0;
 /// A request that is coming in then, or at the bound, has this long to be whole.
 const READING_LEAST: Duration = Duration::from_millis(500);
 /// A request that is only now coming in on a connection just accepted is given this long then.
@@ -202,6 +208,8 @@
     /// Ends in good order: whoever comes or stays is still served, and told to go elsewhere next.
     pub async fn wind_up(&self, accepting: JoinHandle<()>) {
         self.ending.set(true);
+        let wait = self.reader.longest_deadline().min(KILL_WAIT_MOST);
+        self.driver.end_by(self.driver.now() + wait + KILL - KILL_MARGIN);
         sleep(WIND_UP_IDLE).await;
         self.close_idle(FIRST_REQUEST);
         sleep(WIND_UP_ACCEPT).await;
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::*;
 
 fn serving(uid: &str, app: &App, zone: &str) -> String {
@@ -458,3 +458,21 @@
         assert_eq!(node.ask(&request("order", &format!("o{number}"))).status(), 200, "{number}");
     }
 }
+
+#[test]
+fn after_sigterm_all_is_answered_before_the_node_may_be_killed() {
+    let app = App::start(|_| Reply::Silence);
+    let mut node = Node::with(&[serving("a", &app, "north")]);
+    // Far longer than a node that is told to end is left to run.
+    let (mut early, mut late) = (node.client(), node.client());
+    early.write(request_with("order", "r1", "large", "40000m").as_bytes());
+    until("the attempt is out", || app.seen() == 1);
+    let told = Instant::now();
+    node.terminate();
+    late.write(request_with("read", "r2", "large", "40000m").as_bytes());
+    assert!(early.read().is_some_and(|answer| answer.fails()));
+    assert!(late.read().is_some_and(|answer| answer.status() >= 400));
+    assert_eq!(node.exit_code(), Some(0));
+    // It is killed no earlier than 0.7 s behind the longest deadline, or behind 3 s where that is longer.
+    assert!(told.elapsed() < Duration::from_millis(3700), "{:?}", told.elapsed());
+}
