Rest a connection for 15 ms so that a late second answer is never the next one's

A connection was free again after 1 ms. Forced in a test: with the copy 2 ms late the next request is served the answer of the one before (left (Ok, "0"), right (Ok, "1")), which is something that no server made for it. At fault: upstream.rs, REST.

Now a connection rests for 15 ms; whoever needs it earlier, and finds no other, waits for the rest of that. Ruled out: copies that come at once, or with the answer, which were found unread before reuse. The test's clock stands still while sockets are read (tokio's test-util, for tests only).

--- a/src/bin/ivygate/upstream.rs
+++ b/src/bin/ivygate/upstream.rs
@@ -28,9 +28,9 @@
 pub const BODY_MOST: usize = 64 << 10;
 /// Most that hyper holds of an answer's head; guards the memory against heads that do not end.
 const HEAD_MOST: usize = 32 << 10;
-/// A connection rests this long between two requests: what a server sends behind an answer must not come
-/// to be read as the next one's.
-const REST: Duration = Duration::from_millis(1);
+/// A connection rests this long between two requests: what a server sends behind an answer, which may be some
+/// milliseconds late, must not come to be read as the next one's.
+const REST: Duration = Duration::from_millis(15);
 /// Weight of one request on a kept connection in the part of those that broke: some tens of requests.
 const BROKE_WEIGHT: f64 = 0.05;
 /// From this part on, kept connections are not trusted with a request that must not be sent again.
@@ -467,3 +467,44 @@
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+
+    const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
+
+    /// Serves one request on each connection, with the connection's number, and `late` behind it once more.
+    async fn twice(listener: TcpListener, late: Duration) {
+        // They stay open, and are of no further use.
+        let mut streams = Vec::new();
+        for number in 0..10u8 {
+            let (mut stream, _) = listener.accept().await.expect("it is accepted");
+            let read = stream.read(&mut [0; 1024]).await.expect("it is read");
+            assert!(read > 0);
+            let answer = [ANSWER, &[b'0' + number]].concat();
+            stream.write_all(&answer).await.expect("it is written");
+            sleep(late).await;
+            let _ = stream.write_all(&answer).await;
+            streams.push(stream);
+        }
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_second_answer_some_milliseconds_late_is_never_the_next_ones() {
+        for late in [0, 2, 5, 10] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let place = Place { address: listener.local_addr().expect("an address"), boot_ms: 0.0 };
+            let server = tokio::spawn(twice(listener, Duration::from_millis(late)));
+            let upstream = Upstream::new(Links { connect_timeout: None, keepalive: None }, 100);
+            for number in 0..10u8 {
+                let request = || Some(Request::new(Full::default()));
+                let end = upstream.attempt(1, place, &Progress::default(), false, request).await;
+                assert_eq!((end.outcome, &*end.body), (Outcome::Ok, &[b'0' + number][..]), "{late} ms");
+            }
+            server.abort();
+        }
+    }
+}
