Let a later attempt wait until one that was given up has let go of its connection

Checked, and no fault found: whether the socket of an attempt that is aborted could be closed only after its successor is written, two attempts then being out where that is not allowed. The aborted task is woken before the successor is spawned and tokio's LocalSet runs both in that order, so it was closed first; a test that looks at the first connection as the second one's request comes in finds it over, before this change and after it. That order is no promise of tokio's. Now the successor awaits the tasks of attempts that have ended (driver.rs, send), so that the order is a matter of the code and not of a queue.

--- a/src/bin/ivygate/driver.rs
+++ b/src/bin/ivygate/driver.rs
@@ -19,7 +19,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
-use tokio::task::AbortHandle;
+use tokio::task::JoinHandle;
 use tokio::time::sleep_until;
 
 /// Kept before a client's deadline for the way there and back: the node decides as if it came that much
@@ -102,7 +102,8 @@
     server: ServerId,
     sent_at: Millis,
     progress: Rc<Progress>,
-    task: AbortHandle,
+    /// What carries it out, until a later attempt waits for its end.
+    task: Option<JoinHandle<()>>,
     timer: TimerKey,
     ended: bool,
 }
@@ -414,6 +415,10 @@
         let Some(open) = requests.get_mut(&id) else { return };
         let number = open.attempts.len() as u32;
         let give_up_at = if give_up_at > 0.0 { give_up_at.min(open.deadline) } else { open.deadline };
+        // An attempt that was given up still holds its connection until its task has ended: to the app servers
+        // it is out for as long, and two may not be.
+        let given_up = open.attempts.iter_mut().filter(|attempt| attempt.ended);
+        let given_up: Vec<_> = given_up.filter_map(|attempt| attempt.task.take()).collect();
         let progress = Rc::new(Progress::default());
         let place = servers.get(&server).map(|s| s.place);
         let attempt = {
@@ -421,6 +426,10 @@
             let message = open.message.clone();
             let once = open.once;
             async move {
+                for task in given_up {
+                    // Whether it ended by itself or was told to is all one.
+                    let _ = task.await;
+                }
                 let end = match place {
                     Some(place) => {
                         let left = || driver.may_write(&id, server, place, give_up_at);
@@ -432,7 +441,7 @@
                 driver.attempt_ended(&id, number, end);
             }
         };
-        let task = tokio::task::spawn_local(attempt).abort_handle();
+        let task = Some(tokio::task::spawn_local(attempt));
         *timer_number += 1;
         let timer = (micros(give_up_at), *timer_number);
         timers.insert(timer, Timer::GiveUp(id, number));
@@ -461,7 +470,9 @@
     /// Stops waiting for an attempt and closes its connection.
     fn give_up(&self, state: &mut State, id: &RequestId, number: u32, outcome: Outcome) {
         let Some(attempt) = state.attempt(id, number) else { return };
-        attempt.task.abort();
+        if let Some(task) = &attempt.task {
+            task.abort();
+        }
         // What was never written can't have run: an unsafe request may then be tried again or refused.
         let outcome = if attempt.progress.may_have_run() { outcome } else { Outcome::Moot };
         self.end(state, id, number, End::bare(outcome));
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -2,9 +2,11 @@
 
 mod support;
 
-use std::net::{SocketAddr, TcpListener};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use support::*;
 
@@ -19,7 +21,7 @@
 
 /// Answers the first request of all with `first` and the others with 200.
 fn first_then_ok(first: fn() -> Reply) -> impl Fn(&Message) -> Reply + Clone + Send + Sync + 'static {
-    let count = std::sync::Arc::new(AtomicUsize::new(0));
+    let count = Arc::new(AtomicUsize::new(0));
     move |_| if count.fetch_add(1, Ordering::SeqCst) == 0 { first() } else { Reply::ok("second") }
 }
 
@@ -440,7 +442,7 @@
 #[test]
 fn an_unsafe_request_takes_a_new_connection_where_kept_ones_break() {
     // Connections take one request each, and are closed by the second one.
-    let fresh = std::sync::Mutex::new(std::collections::HashSet::new());
+    let fresh = Mutex::new(std::collections::HashSet::new());
     let app = App::start(move |request| {
         let peer = request.header("peer").expect("its connection").to_owned();
         if fresh.lock().expect("no panic").insert(peer) {
@@ -476,3 +478,38 @@
     // It is killed no earlier than 0.7 s behind the longest deadline, or behind 3 s where that is longer.
     assert!(told.elapsed() < Duration::from_millis(3700), "{:?}", told.elapsed());
 }
+
+#[test]
+fn an_attempt_given_up_is_over_before_the_next_one_is_written() {
+    // The first to be asked says nothing; the other looks whether that attempt is still out.
+    let first: Arc<Mutex<Option<TcpStream>>> = Arc::default();
+    let targets = ["a", "b"].map(|name| {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let entry = target(name, listener.local_addr().expect("an address"), "north", "SERVING");
+        let first = first.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let mut stream = BufReader::new(stream);
+                if read_message(&mut stream).is_none() {
+                    continue;
+                }
+                let mut stream = stream.into_inner();
+                let mut first = first.lock().expect("no panic");
+                let over = first.as_ref().map(|first| if is_over(first) { "over" } else { "open" });
+                match over {
+                    Some(over) => {
+                        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n{over}");
+                        let _ = stream.write_all(answer.as_bytes());
+                    }
+                    None => *first = Some(stream),
+                }
+            }
+        });
+        entry
+    });
+    let list = listing(1, true, &targets);
+    let discovery = Discovery::start(list.clone());
+    let settings = SETTINGS.replace("\"aimMs\": 8000", "\"aimMs\": 500");
+    let node = Node::start(&config(discovery.address, &list, &settings, 1024));
+    assert_eq!(node.ask(&request("read", "r1")).body, b"over");
+}
