Send a keyed request again only if its connection can come up within the window

At fault: rules.rs, may_send, which took the send for the start.

Now the longest time for a connection is taken off the window. The settings tell it to the module as well, with the node's own figure where they leave it out. Ruled out: the first attempt, whose later start only leaves more time.

--- a/examples/one_gateway.rs
+++ b/examples/one_gateway.rs
@@ -38,6 +38,7 @@
         meter_period: Some(1_000.0),
         cross_zone_price: 0.0,
         handshake_price: 0.0,
+        connect_timeout: 100.0,
         keepalive: None,
         cold_from: 0.2,
         warm_after: 10_000.0,
--- a/src/bin/ivygate/upstream.rs
+++ b/src/bin/ivygate/upstream.rs
@@ -44,8 +44,6 @@
 const KEEP_PART: f64 = 0.6;
 /// Where the settings tell no such time.
 const KEEP_UNTOLD: Duration = Duration::from_secs(4);
-/// And where they tell no time for connecting.
-const CONNECT_UNTOLD: Duration = Duration::from_secs(1);
 
 /// What an attempt came to.
 pub struct End {
@@ -143,7 +141,7 @@
             broke: Cell::new(0.0),
             most,
             keep: links.keepalive.map_or(KEEP_UNTOLD, |ms| millis(ms * KEEP_PART)),
-            connect: links.connect_timeout.map_or(CONNECT_UNTOLD, millis),
+            connect: millis(links.connect_timeout),
         }
     }
 
@@ -498,7 +496,7 @@
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let place = Place { address: listener.local_addr().expect("an address"), boot_ms: 0.0 };
             let server = tokio::spawn(twice(listener, Duration::from_millis(late)));
-            let upstream = Upstream::new(Links { connect_timeout: None, keepalive: None }, 100);
+            let upstream = Upstream::new(Links { connect_timeout: 1_000.0, keepalive: None }, 100);
             for number in 0..10u8 {
                 let request = || Some(Request::new(Full::default()));
                 let end = upstream.attempt(1, place, &Progress::default(), false, request).await;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -42,6 +42,8 @@
     pub cross_zone_price: f64,
     /// Price of each new connection, as a share of a request's worth.
     pub handshake_price: f64,
+    /// A connection takes no longer than this to come up: so much later than it is sent an attempt may start.
+    pub connect_timeout: Millis,
     /// A connection that has been idle for this long is closed; `None` where that is not told.
     pub keepalive: Option<Millis>,
     /// A just started server has at least this share of its capacity.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -680,7 +680,8 @@
             KeyScope::Zone => home.zone == server.zone,
             KeyScope::Cell => home.cell == server.cell,
         };
-        same && self.now < first.sent_at + class.key_window - MARGIN
+        // It starts when its connection has come up, and the window counts from the first one's start.
+        same && self.now + self.settings.connect_timeout < first.sent_at + class.key_window - MARGIN
     }
 
     /// Rule two: whether the client may be told that trying again is harmless.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -64,6 +64,7 @@
         ("fall_window", settings.fall_window),
         ("cross_zone_price", settings.cross_zone_price),
         ("handshake_price", settings.handshake_price),
+        ("connect_timeout", settings.connect_timeout),
         ("keepalive", settings.keepalive.unwrap_or(0.0)),
         ("meter_period", settings.meter_period.unwrap_or(0.0)),
         ("max_retry_after", settings.max_retry_after.unwrap_or(0.0)),
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -3,6 +3,9 @@
 use crate::interface::{Class, Effect, KeyScope, Millis, Plan, Settings};
 use serde::Deserialize;
 
+/// Time for a connection to come up where the settings do not tell.
+const CONNECT_UNTOLD: Millis = 1_000.0;
+
 /// The settings object as it is written; [`Setup::settings`] gives what a gateway acts on.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -103,8 +106,8 @@
 /// What the settings tell of connections to app servers; a decision needs none of it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Links {
-    /// A connection not established by then has failed; `None` where the settings do not tell.
-    pub connect_timeout: Option<Millis>,
+    /// A connection not established by then has failed.
+    pub connect_timeout: Millis,
     /// App servers close a connection that has stood idle for this long; `None` if they do not tell.
     pub keepalive: Option<Millis>,
 }
@@ -142,7 +145,7 @@
     pub fn links(&self) -> Links {
         let given = |ms: f64| Some(ms).filter(|ms| ms.is_finite() && *ms > 0.0);
         Links {
-            connect_timeout: given(self.allowed.connect_timeout_ms),
+            connect_timeout: given(self.allowed.connect_timeout_ms).unwrap_or(CONNECT_UNTOLD),
             keepalive: given(self.allowed.keepalive_ms),
         }
     }
@@ -170,7 +173,7 @@
     /// # Errors
     /// Names the key whose value is unknown.
     pub fn settings(self) -> Result<Settings, String> {
-        let keepalive = self.links().keepalive;
+        let Links { connect_timeout, keepalive } = self.links();
         Ok(Settings {
             gateways: self.balancers,
             rank: self.rank,
@@ -190,6 +193,7 @@
             meter_period: (self.domain.use_period_ms > 0.0).then_some(self.domain.use_period_ms),
             cross_zone_price: self.prices.cross_zone,
             handshake_price: self.prices.handshake,
+            connect_timeout,
             keepalive,
             cold_from: self.rules.cold_from,
             warm_after: self.rules.warm_after_ms,
