Rate a cold server by its wait where it would serve too late

Seen (made-up events, tests/gateway.rs on the code before): with a server at a fiftieth of its pace on the list and a warm one idle beside it, requests are refused for want of room whenever a turn at the cold one is open. At fault: rules.rs, pick, which takes an open turn ahead of everything, though only one that serves in time was meant to be, and arrive, which then finds the wait too long and looks no further.

Now a cold server that would not serve in time is rated by its wait like the others. Ruled out: the fleet's bound on cold servers, which is a bound on turns and is unchanged.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -537,7 +537,9 @@
             let (failing, at) = self.zones.get(&server.zone).copied().unwrap_or((0.0, self.now));
             let zone = zone + class.aim * failing * (-(self.now - at) / (BLOCK_LAST * aim)).exp();
             // A turn lapses, and work warms a server: it is taken whenever it serves in time.
-            let cost = if cold { zone } else { wait + zone + link } * (1.0 + SCATTER * self.rng.f64());
+            let in_time = wait <= ROOM * (request.aim_at - self.now);
+            let cost = if cold && in_time { zone } else { wait + zone + link };
+            let cost = cost * (1.0 + SCATTER * self.rng.f64());
             if best.is_none_or(|(c, ..)| cost < c) {
                 best = Some((cost, *id, wait, queue));
             }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1098,3 +1098,18 @@
     // A request that breaks goes on elsewhere, and its connection with it.
     assert_ne!(sent_to(&rig.done(50.0, &first, 0, Outcome::Reset)), Some(home));
 }
+
+#[test]
+fn a_cold_server_that_would_be_too_late_leaves_the_request_to_a_warm_one() {
+    let settings = Settings { gateways: 1, cold_from: 0.02, fall_multiple: 20.0, ..settings() };
+    let mut cold = member(1, 0, ServerState::Ready);
+    cold.started = Some(0.0);
+    let mut rig = Rig::new(settings, vec![cold, member(2, 0, ServerState::Ready)]);
+    for i in 0..60 {
+        let now = f64::from(i) * 10.0;
+        let (request, actions) = rig.arrive(now, "read", &format!("c{i}"));
+        // At a fiftieth of its pace the cold one needs more than the aim, and the other has room.
+        assert!(sent_to(&actions).is_some());
+        rig.done(now + 0.5, &request, 0, Outcome::Ok);
+    }
+}
