Start and serve under settings that leave keys out or hold zeros

At fault: setup.rs and settings.rs, which ask for more than decisions need, and two divisions in rules.rs.

The number of nodes, a node's rank, classes, plans and the way of discovery must still be told, and negative figures still end the start with one line. Ruled out: meter, units and connection times of zero, which were taken as not told before.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -287,7 +287,7 @@
             }
             // Exception, sudden burst: what this gateway alone sent beyond rate and burst is beyond the
             // quota whatever the others sent; it acts before the meter says so.
-            if customer.own < arrival.units.min(limits.burst) {
+            if customer.own < arrival.units.min(limits.burst) || limits.burst == 0.0 {
                 standing = Standing::Beyond;
             } else if standing == Standing::Within {
                 customer.credit = (customer.credit + customer.share).min(1.5);
@@ -503,7 +503,8 @@
             let blocked = self.now < server.blocked_until;
             healthy |= !blocked && !server.on_trial;
             let warmth = self.warmth(server);
-            let cold = warmth < 1.0;
+            let limited = self.settings.fall_multiple > 0.0 && self.settings.fall_window > 0.0;
+            let cold = warmth < 1.0 && limited;
             if cold {
                 let (turn, room) = self.cold_turn(*id, server, work);
                 if room <= if turn == server.turn.0 { server.turn.1 } else { 0 } {
@@ -647,7 +648,9 @@
         }
         self.mean_work += VALUE_WEIGHT * (work - self.mean_work);
         self.mean_value += VALUE_WEIGHT * (value - self.mean_value);
-        let factor = (value / self.mean_value).clamp(QUEUE_FACTOR.0, QUEUE_FACTOR.1);
+        // Guards against classes of which none is worth anything: they are all alike.
+        let factor = if self.mean_value > 0.0 { value / self.mean_value } else { 1.0 };
+        let factor = factor.clamp(QUEUE_FACTOR.0, QUEUE_FACTOR.1);
         let factor = if standing == Standing::Beyond { QUEUE_FACTOR.0 } else { factor };
         let queue_room = QUEUE_ROOM * self.shortest_aim * factor;
         match self.pick(&request) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -53,7 +53,7 @@
             p.ceiling_burst,
             p.ceiling_slack,
         ];
-        if figures.into_iter().any(bad) || (p.rate > 0.0 && p.burst == 0.0) {
+        if figures.into_iter().any(bad) {
             return fail(format!("plan {}: a negative or missing figure", p.name));
         }
     }
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -10,7 +10,9 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Setup {
+    #[serde(default)]
     allowed: Allowed,
+    #[serde(default)]
     az: String,
     balancers: u32,
     classes: Vec<WireClass>,
@@ -18,20 +20,20 @@
     discovery: String,
     #[serde(default)]
     domain: Domain,
+    #[serde(default)]
     prices: Prices,
     rank: u32,
+    #[serde(default)]
     rules: Rules,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
+/// What is not told is not allowed.
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
 struct Allowed {
     cancel: bool,
-    #[serde(default)]
     connect_timeout_ms: f64,
-    #[serde(default)]
     keepalive_ms: f64,
-    #[serde(default)]
     max_retry_after_ms: f64,
     may_probe: bool,
     most_tries: u32,
@@ -43,8 +45,10 @@
 #[serde(rename_all = "camelCase")]
 struct WireClass {
     name: String,
+    #[serde(default)]
     aim_ms: f64,
     deadline_ms: f64,
+    #[serde(default = "one")]
     worth: f64,
     #[serde(default)]
     late_worth: f64,
@@ -65,6 +69,7 @@
     most_at_once: f64,
     #[serde(default)]
     parallel: u32,
+    #[serde(default = "one")]
     worth_factor: f64,
     #[serde(default)]
     extra_worth: f64,
@@ -92,17 +97,21 @@
     handshake: f64,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
+/// What is not told is no rule.
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
 struct Rules {
     cold_from: f64,
     warm_after_ms: f64,
     fall_multiple: f64,
     overload_for_ms: f64,
-    #[serde(default)]
     ask_every_ms: f64,
 }
 
+fn one() -> f64 {
+    1.0
+}
+
 /// What the settings tell of connections to app servers; a decision needs none of it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Links {
@@ -180,7 +189,7 @@
             zone: self.az,
             classes: self.classes.into_iter().map(class).collect::<Result<_, _>>()?,
             plans: self.contracts.into_iter().map(plan).collect(),
-            max_attempts: self.allowed.most_tries,
+            max_attempts: self.allowed.most_tries.max(1),
             hedging: self.allowed.second_copies,
             probing: self.allowed.may_probe,
             cancelling: self.allowed.cancel,
@@ -214,7 +223,8 @@
     };
     Ok(Class {
         name: c.name,
-        aim: c.aim_ms,
+        // Without an aim of its own any answer in time earns the full worth.
+        aim: if c.aim_ms == 0.0 { c.deadline_ms } else { c.aim_ms },
         deadline: c.deadline_ms,
         worth: c.worth,
         late_worth: c.late_worth,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1113,3 +1113,16 @@
         rig.done(now + 0.5, &request, 0, Outcome::Ok);
     }
 }
+
+#[test]
+fn classes_that_are_worth_nothing_are_served_all_the_same() {
+    let mut settings = settings();
+    settings.classes.iter_mut().for_each(|class| class.worth = 0.0);
+    let mut rig = Rig::new(settings, servers(2));
+    for i in 0..10 {
+        let now = f64::from(i) * 100.0;
+        let (request, actions) = rig.arrive(now, "read", &format!("c{i}"));
+        assert!(sent_to(&actions).is_some());
+        rig.done(now + 50.0, &request, 0, Outcome::Ok);
+    }
+}
