Keep no connection to a server that was taken off the list while it answered

Seen (loopback, tests/node.rs on the code before, with answers held back until the list has changed): the answer of a server that drains, or is deleted, is passed on as it should be, but its connection goes back to the idle ones, which were closed when the list changed, and stays for up to 18 s of a draining server's few. At fault: upstream.rs, attempt, which asks whether a connection is usable and not whether it is of use. Now the driver is asked behind the answer whether the server still serves at that place.

With it, tests that force other crossings and found no fault: an old agent's line behind the move to another, a new agent that is silent and SIGTERM beside it, SIGTERM twice, an object cut off by the end of its watch.

--- a/src/bin/ivygate/driver.rs
+++ b/src/bin/ivygate/driver.rs
@@ -434,7 +434,8 @@
                     Some(place) => {
                         let left = || driver.may_write(&id, server, place, give_up_at);
                         let request = || left().map(|left| message.request(left));
-                        driver.upstream.attempt(server, place, &progress, once, request).await
+                        let keeps = || driver.state.borrow().serves(server, place);
+                        driver.upstream.attempt(server, place, &progress, once, request, keeps).await
                     }
                     None => End::bare(Outcome::Moot),
                 };
@@ -463,8 +464,7 @@
         let left = give_up_at - self.clock.now();
         let state = self.state.borrow();
         let owed = state.requests.get(id).is_some_and(|open| open.answer.is_some());
-        let serves = |s: &Listed| s.state == TargetState::Serving && s.place == place;
-        (owed && state.servers.get(&server).is_some_and(serves) && left > 0.0).then_some(left)
+        (owed && state.serves(server, place) && left > 0.0).then_some(left)
     }
 
     /// Stops waiting for an attempt and closes its connection.
@@ -520,6 +520,11 @@
         id
     }
 
+    /// Whether a server serves, and is the one that was at this place.
+    fn serves(&self, server: ServerId, place: Place) -> bool {
+        self.servers.get(&server).is_some_and(|s| s.state == TargetState::Serving && s.place == place)
+    }
+
     /// An attempt that has not ended.
     fn attempt(&mut self, id: &RequestId, number: u32) -> Option<&mut Attempt> {
         self.requests.get_mut(id)?.attempts.get_mut(number as usize).filter(|a| !a.ended)
--- a/src/bin/ivygate/upstream.rs
+++ b/src/bin/ivygate/upstream.rs
@@ -161,7 +161,7 @@
 
     /// One attempt. `request` is asked for the request when a connection stands and just before its first
     /// byte is written; `None` means that it must not be sent any more. `once` says that it must not be sent
-    /// again once it has been.
+    /// again once it has been. `keeps` is asked behind the answer whether the connection is worth keeping.
     ///
     /// Dropping the future gives the attempt up and closes its connection.
     pub async fn attempt(
@@ -171,6 +171,7 @@
         progress: &Progress,
         once: bool,
         request: impl Fn() -> Option<Request<Full<Bytes>>>,
+        keeps: impl Fn() -> bool,
     ) -> End {
         loop {
             // Guards requests that can't be repeated against servers that end kept connections unsaid: a new
@@ -196,7 +197,7 @@
             match answer {
                 Ok((answer, stands)) => {
                     let end = read_answer(answer);
-                    if stands && link.usable().await {
+                    if stands && keeps() && link.usable().await {
                         self.put_back(server, link);
                     }
                     return end;
@@ -499,7 +500,7 @@
             let upstream = Upstream::new(Links { connect_timeout: 1_000.0, keepalive: None }, 100);
             for number in 0..10u8 {
                 let request = || Some(Request::new(Full::default()));
-                let end = upstream.attempt(1, place, &Progress::default(), false, request).await;
+                let end = upstream.attempt(1, place, &Progress::default(), false, request, || true).await;
                 assert_eq!((end.outcome, &*end.body), (Outcome::Ok, &[b'0' + number][..]), "{late} ms");
             }
             server.abort();
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -106,3 +106,17 @@
     let node = Node::start(&config(discovery.address, &list, SETTINGS, 1024));
     assert_eq!(node.ask(&request("read", "r")).body, b"old");
 }
+
+#[test]
+fn an_object_cut_off_by_the_end_of_its_watch_comes_again_with_the_next() {
+    let (apps, discovery, list) = two();
+    let node = Node::start(&config(discovery.address, &list, SETTINGS, 1024));
+    let change = change(&apps);
+    discovery.write(&change[..change.len() - 10]);
+    discovery.hang_up();
+    until("a second watch", || discovery.watched.load(Ordering::SeqCst) == 2);
+    assert_eq!(node.ask(&request("read", "r")).body, b"old");
+    discovery.push(&change);
+    until("the new server is used", || node.ask(&request("read", "r")).body == b"new");
+    assert_eq!(discovery.lists.load(Ordering::SeqCst), 0);
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -513,3 +513,27 @@
     let node = Node::start(&config(discovery.address, &list, &settings, 1024));
     assert_eq!(node.ask(&request("read", "r1")).body, b"over");
 }
+
+#[test]
+fn a_server_taken_off_the_list_may_finish_what_it_has() {
+    for state in ["DRAINING", "DELETED"] {
+        let (release, released) = std::sync::mpsc::channel::<()>();
+        let released = Mutex::new(released);
+        let app = App::start(move |_| {
+            let _ = released.lock().expect("no panic").recv_timeout(PATIENCE);
+            Reply::ok("done")
+        });
+        let list = listing(1, true, &[serving("a", &app, "north")]);
+        let discovery = Discovery::start(list.clone());
+        let node = Node::start(&config(discovery.address, &list, SETTINGS, 1024));
+        let mut client = node.client();
+        client.write(request("order", "r1").as_bytes());
+        until("the attempt is out", || app.seen() == 1);
+        discovery.push(&listing(2, false, &[target("a", app.address, "north", state)]));
+        until("the node knows", || node.up() == Some(503));
+        release.send(()).expect("it waits");
+        assert_eq!(client.read().map(|answer| answer.body), Some(b"done".to_vec()), "{state}");
+        // What was open then is of no further use.
+        until("its connection is closed", || app.open() == 0);
+    }
+}
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -51,3 +51,43 @@
     node.reload(&whole);
     assert_eq!(node.exit_code(), Some(0));
 }
+
+#[test]
+fn what_the_old_agent_says_after_the_move_is_not_heard() {
+    let apps = [App::start(|_| Reply::ok("old")), App::start(|_| Reply::ok("new"))];
+    let (first, known) = discovery(50, "a", &apps[0]);
+    let (second, _) = discovery(3, "b", &apps[1]);
+    let node = Node::start(&config(first.address, &known, SETTINGS, 1024));
+    until("the old agent is watched", || first.watched.load(Ordering::SeqCst) == 1);
+    node.reload(&config(second.address, "null", SETTINGS, 1024));
+    until("the new server is used", || node.ask(&request("read", "r")).body == b"new");
+    // A line that was on its way.
+    first.push(&listing(51, true, &[target("a", apps[0].address, "north", "SERVING")]));
+    until("the new agent is watched", || second.watched.load(Ordering::SeqCst) == 1);
+    for number in 0..20 {
+        assert_eq!(node.ask(&request("read", &format!("r{number}"))).body, b"new");
+    }
+    assert_eq!(first.watched.load(Ordering::SeqCst), 1);
+}
+
+#[test]
+fn while_the_new_agent_is_silent_the_old_list_holds() {
+    let apps = [App::start(|_| Reply::ok("old")), App::start(|_| Reply::ok("new"))];
+    let (first, known) = discovery(50, "a", &apps[0]);
+    let (second, _) = discovery(3, "b", &apps[1]);
+    second.fall_silent(true);
+    let mut node = Node::start(&config(first.address, &known, SETTINGS, 1024));
+    node.reload(&config(second.address, "null", SETTINGS, 1024));
+    until("the new agent is called more than once", || second.held().0 > 1);
+    assert_eq!(node.ask(&request("read", "r")).body, b"old");
+    second.fall_silent(false);
+    until("the new server is used", || node.ask(&request("read", "r")).body == b"new");
+    // Silent again, and told to end beside it.
+    second.fall_silent(true);
+    second.hang_up();
+    let held = second.held().0;
+    until("it is called again", || second.held().0 > held);
+    node.terminate();
+    node.terminate();
+    assert_eq!(node.exit_code(), Some(0));
+}
