--- a/src/bin/ivygate/upstream.rs
+++ b/src/bin/ivygate/upstream.rs
@@ -44,8 +44,6 @@
 const KEEP_PART: f64 = 0.6;
 /// Where the settings tell no such time.
 const KEEP_UNTOLD: Duration = Duration::from_secs(4);
-/// And where they tell no time for connecting.
-const CONNECT_UNTOLD: Duration = Duration::from_secs(1);
 
 /// What an attempt came to.
 pub struct End {
@@ -143,7 +141,7 @@
             broke: Cell::new(0.0),
             most,
             keep: links.keepalive.map_or(KEEP_UNTOLD, |ms| millis(ms * KEEP_PART)),
-            connect: links.connect_timeout.map_or(CONNECT_UNTOLD, millis),
+            connect: millis(links.connect_timeout),
         }
     }
 
@@ -163,7 +161,7 @@
 
     /// One attempt. `request` is asked for the request when a connection stands and just before its first
     /// byte is written; `None` means that it must not be sent any more. `once` says that it must not be sent
-    /// again once it has been.
+    /// again once it has been. `keeps` is asked behind the answer whether the connection is worth keeping.
     ///
     /// Dropping the future gives the attempt up and closes its connection.
     pub async fn attempt(
@@ -173,6 +171,7 @@
         progress: &Progress,
         once: bool,
         request: impl Fn() -> Option<Request<Full<Bytes>>>,
+        keeps: impl Fn() -> bool,
     ) -> End {
         loop {
             // Guards requests that can't be repeated against servers that end kept connections unsaid: a new
@@ -198,7 +197,7 @@
             match answer {
                 Ok((answer, stands)) => {
                     let end = read_answer(answer);
-                    if stands && link.usable().await {
+                    if stands && keeps() && link.usable().await {
                         self.put_back(server, link);
                     }
                     return end;
@@ -498,10 +497,10 @@
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let place = Place { address: listener.local_addr().expect("an address"), boot_ms: 0.0 };
             let server = tokio::spawn(twice(listener, Duration::from_millis(late)));
-            let upstream = Upstream::new(Links { connect_timeout: None, keepalive: None }, 100);
+            let upstream = Upstream::new(Links { connect_timeout: 1_000.0, keepalive: None }, 100);
             for number in 0..10u8 {
                 let request = || Some(Request::new(Full::default()));
-                let end = upstream.attempt(1, place, &Progress::default(), false, request).await;
+                let end = upstream.attempt(1, place, &Progress::default(), false, request, || true).await;
                 assert_eq!((end.outcome, &*end.body), (Outcome::Ok, &[b'0' + number][..]), "{late} ms");
             }
             server.abort();
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -3,11 +3,16 @@
 use crate::interface::{Class, Effect, KeyScope, Millis, Plan, Settings};
 use serde::Deserialize;
 
+/// Time for a connection to come up where the settings do not tell.
+const CONNECT_UNTOLD: Millis = 1_000.0;
+
 /// The settings object as it is written; [`Setup::settings`] gives what a gateway acts on.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Setup {
+    #[serde(default)]
     allowed: Allowed,
+    #[serde(default)]
     az: String,
     balancers: u32,
     classes: Vec<WireClass>,
@@ -15,20 +20,20 @@
     discovery: String,
     #[serde(default)]
     domain: Domain,
+    #[serde(default)]
     prices: Prices,
     rank: u32,
+    #[serde(default)]
     rules: Rules,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
+/// What is not told is not allowed.
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
 struct Allowed {
     cancel: bool,
-    #[serde(default)]
     connect_timeout_ms: f64,
-    #[serde(default)]
     keepalive_ms: f64,
-    #[serde(default)]
     max_retry_after_ms: f64,
     may_probe: bool,
     most_tries: u32,
@@ -40,8 +45,10 @@
 #[serde(rename_all = "camelCase")]
 struct WireClass {
     name: String,
+    #[serde(default)]
     aim_ms: f64,
     deadline_ms: f64,
+    #[serde(default = "one")]
     worth: f64,
     #[serde(default)]
     late_worth: f64,
@@ -62,6 +69,7 @@
     most_at_once: f64,
     #[serde(default)]
     parallel: u32,
+    #[serde(default = "one")]
     worth_factor: f64,
     #[serde(default)]
     extra_worth: f64,
@@ -89,22 +97,26 @@
     handshake: f64,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
+/// What is not told is no rule.
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
 struct Rules {
     cold_from: f64,
     warm_after_ms: f64,
     fall_multiple: f64,
     overload_for_ms: f64,
-    #[serde(default)]
     ask_every_ms: f64,
 }
 
+fn one() -> f64 {
+    1.0
+}
+
 /// What the settings tell of connections to app servers; a decision needs none of it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Links {
-    /// A connection not established by then has failed; `None` where the settings do not tell.
-    pub connect_timeout: Option<Millis>,
+    /// A connection not established by then has failed.
+    pub connect_timeout: Millis,
     /// App servers close a connection that has stood idle for this long; `None` if they do not tell.
     pub keepalive: Option<Millis>,
 }
@@ -142,7 +154,7 @@
     pub fn links(&self) -> Links {
         let given = |ms: f64| Some(ms).filter(|ms| ms.is_finite() && *ms > 0.0);
         Links {
-            connect_timeout: given(self.allowed.connect_timeout_ms),
+            connect_timeout: given(self.allowed.connect_timeout_ms).unwrap_or(CONNECT_UNTOLD),
             keepalive: given(self.allowed.keepalive_ms),
         }
     }
@@ -170,14 +182,14 @@
     /// # Errors
     /// Names the key whose value is unknown.
     pub fn settings(self) -> Result<Settings, String> {
-        let keepalive = self.links().keepalive;
+        let Links { connect_timeout, keepalive } = self.links();
         Ok(Settings {
             gateways: self.balancers,
             rank: self.rank,
             zone: self.az,
             classes: self.classes.into_iter().map(class).collect::<Result<_, _>>()?,
             plans: self.contracts.into_iter().map(plan).collect(),
-            max_attempts: self.allowed.most_tries,
+            max_attempts: self.allowed.most_tries.max(1),
             hedging: self.allowed.second_copies,
             probing: self.allowed.may_probe,
             cancelling: self.allowed.cancel,
@@ -190,6 +202,7 @@
             meter_period: (self.domain.use_period_ms > 0.0).then_some(self.domain.use_period_ms),
             cross_zone_price: self.prices.cross_zone,
             handshake_price: self.prices.handshake,
+            connect_timeout,
             keepalive,
             cold_from: self.rules.cold_from,
             warm_after: self.rules.warm_after_ms,
@@ -210,7 +223,8 @@
     };
     Ok(Class {
         name: c.name,
-        aim: c.aim_ms,
+        // Without an aim of its own any answer in time earns the full worth.
+        aim: if c.aim_ms == 0.0 { c.deadline_ms } else { c.aim_ms },
         deadline: c.deadline_ms,
         worth: c.worth,
         late_worth: c.late_worth,
