Do not wait 3 s for the rest of a list where calls are free

Seen (loopback, tests/discovery.rs on the code before): a list that stops half way, its connection open, is waited for for 3 s (`3.014347398s`), while what the agent holds counts as told. At fault: discovery.rs, list, whose body had the time of a list service far away. Now it has as long as an answer that has not begun.

The set-up of tests in which a request waits for its connection told by the number of descriptors that the node connects, and failed once when a call to discovery ended in the same moment; it reads the states of the system's sockets now. So do the tests that see a client's connection closed.

--- a/src/bin/ivygate/discovery.rs
+++ b/src/bin/ivygate/discovery.rs
@@ -85,6 +85,7 @@
 /// An object is written in one piece, on one line or on several. One that stops half way for this long has
 /// lost its end, and what comes next would be read as the rest of it.
 const PIECE: Duration = Duration::from_millis(250);
+
 /// What went wrong with a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Trouble {
@@ -204,7 +205,8 @@
 async fn list(agent: SocketAddr, free: bool) -> Result<Listing, Trouble> {
     let mut call = call(agent, "/discovery/hosts".to_owned(), free).await.ok_or(Trouble::Lost)?;
     let body = http_body_util::Limited::new(&mut call.body, LONGEST).collect();
-    let body = timeout(ANSWER, body).await.map_err(|_| Trouble::Lost)?.map_err(|_| Trouble::Lost)?;
+    let longest = if free { ANSWER_FREE } else { ANSWER };
+    let body = timeout(longest, body).await.map_err(|_| Trouble::Lost)?.map_err(|_| Trouble::Lost)?;
     serde_json::from_slice(&body.to_bytes()).map_err(|_| Trouble::Unreadable)
 }
 
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -120,3 +120,15 @@
     until("the new server is used", || node.ask(&request("read", "r")).body == b"new");
     assert_eq!(discovery.lists.load(Ordering::SeqCst), 0);
 }
+
+#[test]
+fn a_list_that_stops_half_way_is_not_waited_for() {
+    let (_apps, discovery, _) = two();
+    discovery.stall();
+    let begun = Instant::now();
+    let node = Node::start(&config(discovery.address, "null", SETTINGS, 1024));
+    assert_eq!(node.ask(&request("read", "r")).body, b"old");
+    // What the agent holds counts as told: 3 s, as for a list service far away, would be too long.
+    assert!(begun.elapsed() < Duration::from_millis(2500), "{:?}", begun.elapsed());
+    assert_eq!(discovery.lists.load(Ordering::SeqCst), 1);
+}
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -21,13 +21,13 @@
         (&*next, true),
         (&*much, true),
     ] {
-        let (_blocked, _discovery, node, mut client) = waiting("\"cancel\": true");
-        let before = node.descriptors();
+        let (blocked, _discovery, node, mut client) = waiting("\"cancel\": true");
+        let port = client.stream.get_ref().local_addr().expect("an address");
         client.write(behind.as_bytes());
         client.stream.get_ref().shutdown(Shutdown::Write).expect("it can be ended");
         let kept = half_closes.then_some(client);
-        // The client's own and the one to the app server, which has not come up.
-        until("both its connections are closed", || node.descriptors() + 2 <= before);
+        until("its connection is closed", || !is_held(node.address, port));
+        until("the one to the app server is given up", || !connects(blocked.address));
         drop(kept);
     }
 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -227,9 +227,9 @@
 #[test]
 fn a_request_whose_client_left_while_connecting_is_not_written_where_nothing_is_cancelled() {
     let (blocked, _discovery, node, client) = waiting("\"cancel\": false");
-    let before = node.descriptors();
+    let port = client.stream.get_ref().local_addr().expect("an address");
     drop(client);
-    until("the node has noticed", || node.descriptors() < before);
+    until("the node has noticed", || !is_held(node.address, port));
     assert_eq!(blocked.release().join().expect("no panic"), 0);
 }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -174,6 +174,33 @@
     }
 }
 
+/// What the system tells of its TCP sockets: port here, port there, state.
+fn sockets() -> Vec<(u16, u16, u8)> {
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("it can be read");
+    let port = |address: &str| u16::from_str_radix(address.rsplit(':').next()?, 16).ok();
+    let socket = |line: &str| {
+        let mut fields = line.split_whitespace().skip(1);
+        let (here, there) = (port(fields.next()?)?, port(fields.next()?)?);
+        Some((here, there, u8::from_str_radix(fields.next()?, 16).ok()?))
+    };
+    table.lines().skip(1).filter_map(socket).collect()
+}
+
+/// Whether a connection to an address is coming up.
+pub fn connects(address: SocketAddr) -> bool {
+    const SYN_SENT: u8 = 2;
+    sockets().into_iter().any(|(_, there, state)| there == address.port() && state == SYN_SENT)
+}
+
+/// Whether the one who listens at an address still holds a connection of a client's.
+pub fn is_held(address: SocketAddr, client: SocketAddr) -> bool {
+    const ESTABLISHED: u8 = 1;
+    const CLOSE_WAIT: u8 = 8;
+    let held = |state| matches!(state, ESTABLISHED | CLOSE_WAIT);
+    let ports = (address.port(), client.port());
+    sockets().into_iter().any(|(here, there, state)| (here, there) == ports && held(state))
+}
+
 /// An app server that takes no connection until it is released: its listener's queue is full.
 pub struct Blocked {
     pub address: SocketAddr,
@@ -238,6 +265,8 @@
     list: Arc<Mutex<String>>,
     watches: Arc<Mutex<Vec<TcpStream>>>,
     silent: Arc<AtomicBool>,
+    /// The next list stops half way.
+    stalls: Arc<AtomicBool>,
     /// Calls that came while it was silent; they are never answered.
     held: Arc<Mutex<Vec<TcpStream>>>,
     /// How often the list was asked for.
@@ -254,6 +283,7 @@
             list: Arc::new(Mutex::new(list)),
             watches: Arc::default(),
             silent: Arc::default(),
+            stalls: Arc::default(),
             held: Arc::default(),
             lists: Arc::default(),
             watched: Arc::default(),
@@ -276,16 +306,32 @@
             let _ = stream
                 .get_mut()
                 .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+            if request.start.contains("index=0 ") {
+                // Who holds nothing is told all first.
+                let list = self.list.lock().expect("no panic").clone();
+                let _ =
+                    stream.get_mut().write_all(format!("{:x}\r\n{list}\n\r\n", list.len() + 1).as_bytes());
+            }
             self.watches.lock().expect("no panic").push(stream.into_inner());
             self.watched.fetch_add(1, Ordering::SeqCst);
         } else {
             self.lists.fetch_add(1, Ordering::SeqCst);
             let list = self.list.lock().expect("no panic").clone();
             let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
-            let _ = stream.get_mut().write_all(text.as_bytes());
+            let stalls = self.stalls.swap(false, Ordering::SeqCst);
+            let end = if stalls { text.len() - list.len() / 2 } else { text.len() };
+            let _ = stream.get_mut().write_all(&text.as_bytes()[..end]);
+            if stalls {
+                self.held.lock().expect("no panic").push(stream.into_inner());
+            }
         }
     }
 
+    /// Lets the next list stop half way, its connection open.
+    pub fn stall(&self) {
+        self.stalls.store(true, Ordering::SeqCst);
+    }
+
     pub fn set(&self, list: String) {
         *self.list.lock().expect("no panic") = list;
     }
@@ -314,17 +360,6 @@
         }
     }
 
-    /// Writes an empty line to all who watch, over and over, so that no watch is silent.
-    pub fn beat(&self) {
-        let watches = self.watches.clone();
-        std::thread::spawn(move || loop {
-            for watch in watches.lock().expect("no panic").iter_mut() {
-                let _ = watch.write_all(b"1\r\n\n\r\n");
-            }
-            std::thread::sleep(Duration::from_millis(500));
-        });
-    }
-
     /// Ends all watches.
     pub fn hang_up(&self) {
         self.watches.lock().expect("no panic").clear();
@@ -456,19 +491,6 @@
         line.trim().trim_end_matches(" kB").parse().expect("a number")
     }
 
-    /// File descriptors that it holds once connections that have ended are closed: the same number for some
-    /// time.
-    pub fn settled_descriptors(&self) -> usize {
-        let (mut last, mut same) = (0, 0);
-        until("the descriptors stay as they are", || {
-            let now = self.descriptors();
-            same = if now == last { same + 1 } else { 0 };
-            last = now;
-            same == 20
-        });
-        last
-    }
-
     /// File descriptors that it holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
@@ -517,10 +539,9 @@
     let mut client = node.client();
     client.write(b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
     assert_eq!(client.read().map(|answer| answer.status()), Some(200));
-    let before = node.descriptors();
     // Its time and the connection's are longer than any test waits.
     client.write(request_with("order", "r1", "large", "40000m").as_bytes());
-    until("the node connects", || node.descriptors() > before);
+    until("the node connects", || connects(blocked.address));
     (blocked, discovery, node, client)
 }
 
