Without a meter refuse some first requests of customers unseen in a wide set

There is no meter that would tell anyone. At fault: rules.rs, customer, which begins each own store full, however many gateways do the same. Ruled out: later requests, which the own store cuts (it refills in 100 s and more there), and clients' retries.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -16,6 +16,13 @@
 /// Bounds on the even parts of its requests that a gateway is first taken to get: one over the cost of an
 /// excess, since refusing within the quota costs one. The dearer the error, the less is let through unknown.
 const BURST_PART: (f64, f64) = (0.8, 1.6);
+/// A set is wide where a gateway's even part of the burst is less than this part of a unit. What a customer asks
+/// beyond its quota then passes as the first of its requests at each gateway, and none of them can tell.
+const WIDE: f64 = 0.25;
+/// Part of those first requests that is refused where there is no meter, which would cut what follows, times the
+/// square of the cost of an excess: what passes beyond quotas must not cost over a tenth of all worth on a quiet
+/// day, though it earns about as much, and refusing is best where an excess is dear.
+const FIRST_REFUSED: f64 = 0.35;
 /// Least share: with none passing no reading would come back, and an excess that other gateways send
 /// would cut this one's part to nothing.
 const SHARE_LEAST: f64 = 0.05;
@@ -309,6 +316,9 @@
         let age = (now - self.born.unwrap_or(now)) / 1000.0;
         let limits = &self.settings.plans[plan];
         let part = ((1.0 / limits.excess_cost).clamp(BURST_PART.0, BURST_PART.1) / width).min(1.0);
+        let unmetered = self.settings.meter_period.is_none() && limits.burst < WIDE * width;
+        let refused = if unmetered { FIRST_REFUSED * limits.excess_cost.min(1.0).powi(2) } else { 0.0 };
+        let rng = &mut self.rng;
         self.customers.entry(key.clone()).or_insert_with(|| Customer {
             plan,
             width,
@@ -318,7 +328,12 @@
             shares: VecDeque::new(),
             mirror: (limits.burst - sent).max(0.0),
             part,
-            own: (limits.burst - sent / part).max(0.0),
+            own: if refused > 0.0 && rng.f64() < refused {
+                // As if this gateway had sent on a unit for it not long ago.
+                -rng.f64() / part
+            } else {
+                (limits.burst - sent / part).max(0.0)
+            },
             own_at: now,
             unmetered: 0.0,
             own_use: part * limits.rate,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1126,3 +1126,33 @@
         rig.done(now + 50.0, &request, 0, Outcome::Ok);
     }
 }
+
+/// How many gateways of a set send on the first request of one customer that comes to each of them.
+fn first_requests(gateways: u32, meter_period: Option<f64>, excess_cost: f64) -> usize {
+    let mut settings = Settings { gateways, meter_period, ..settings() };
+    settings.plans[0].excess_cost = excess_cost;
+    let sends = |rank: u32| {
+        let mut gateway =
+            Gateway::new(Settings { rank, ..settings.clone() }, rank.into()).expect("settings are sound");
+        let mut actions = Vec::new();
+        let list = Event::List { kind: ListKind::Full, members: servers(9).into() };
+        gateway.handle(0.0, list, &mut actions);
+        let ask = arrival("r", "a", 1.0, 1.0, gateways);
+        gateway.handle(1.0, Event::Arrival(ask), &mut actions);
+        sent_to(&actions).is_some()
+    };
+    (0..gateways).filter(|rank| sends(*rank)).count()
+}
+
+#[test]
+fn without_a_meter_not_all_of_a_wide_set_send_on_for_a_customer_that_they_do_not_know() {
+    // The burst is 10: enough for one request at each of few gateways, and at each twentieth of many.
+    assert_eq!(first_requests(4, None, 1.0), 4);
+    assert_eq!(first_requests(10, None, 1.0), 10);
+    let dear = first_requests(200, None, 1.0);
+    assert!((110..150).contains(&dear), "{dear} of 200");
+    // Where an excess costs less, more is let through, and with a meter all.
+    assert!(first_requests(200, None, 0.5) > dear + 20);
+    assert_eq!(first_requests(200, None, 0.0), 200);
+    assert_eq!(first_requests(200, Some(1_000.0), 1.0), 200);
+}
