--- a/tests/node.rs
+++ b/tests/node.rs
@@ -525,7 +525,9 @@
         });
         let list = listing(1, true, &[serving("a", &app, "north")]);
         let discovery = Discovery::start(list.clone());
-        let node = Node::start(&config(discovery.address, &list, SETTINGS, 1024));
+        // An idle connection would be kept for longer than a test waits.
+        let settings = SETTINGS.replace("\"keepaliveMs\": 15000", "\"keepaliveMs\": 120000");
+        let node = Node::start(&config(discovery.address, &list, &settings, 1024));
         let mut client = node.client();
         client.write(request("order", "r1").as_bytes());
         until("the attempt is out", || app.seen() == 1);
