--- a/src/rules.rs
+++ b/src/rules.rs
@@ -20,8 +20,8 @@
 /// asks beyond its quota then passes as the first of its requests at each gateway, and none of them can tell.
 const WIDE: f64 = 0.25;
 /// Part of those first requests that is refused where there is no meter, which would cut what follows, times
-/// the square of the cost of an excess: what passes beyond quotas must not cost over a tenth of all worth on a
-/// quiet day, though it earns about as much, and refusing is best where an excess is dear.
+/// the square of the cost of an excess: what passes beyond quotas must not cost over a tenth of all worth on
+/// a quiet day, though it earns about as much, and refusing is best where an excess is dear.
 const FIRST_REFUSED: f64 = 0.45;
 /// Where a gateway's own store takes no longer than this for a unit, it soon holds the customer by itself.
 const FIRST_REFILL: Millis = 15_000.0;
