Let a customer unknown to a wide set begin with a smaller share

Ruled out: restarts (there are none), readings that recover a share (0.00 to 0.01), a mark of retries as a sign of excess by itself (a fifth to a quarter of firsts and of retries are beyond).

At fault: `customer()` began every share at one, and `read_meter` took one request within one metered period for the part of a set of hundreds, since the part taken at first was worth less than a twentieth of a unit.

Now the share of a customer of which no reading has told begins below one where the set is wide, by the cost of an excess, its credit anywhere; who comes again earns none of it, at once or with the mark of a retry. The dice roll for deployments without a meter goes. The turns at cold servers move to their own file.

--- a/examples/one_gateway.rs
+++ b/examples/one_gateway.rs
@@ -34,6 +34,7 @@
         probing: false,
         cancelling: true,
         list_on_request: false,
+        retries_marked: false,
         max_retry_after: Some(1_000.0),
         meter_period: Some(1_000.0),
         cross_zone_price: 0.0,
@@ -72,6 +73,7 @@
             deadline: now + 2_000.0,
             units: 1.0,
             width: 1,
+            retry: false,
         };
         actions.clear();
         gateway.handle(now, Event::Arrival(arrival), &mut actions);
--- a/src/bin/ivygate-adapter/wire.rs
+++ b/src/bin/ivygate-adapter/wire.rs
@@ -165,6 +165,7 @@
                 deadline: m.number("deadlineMs")?,
                 units: m.number_or("priceUnits", 1.0)?,
                 width: m.small_or("width", 1)?,
+                retry: m.whole_or("retry", 0)? == 1,
             }),
             "done" => Event::Done(Done {
                 request: m.text("requestId")?.into(),
--- a/src/bin/ivygate/driver.rs
+++ b/src/bin/ivygate/driver.rs
@@ -223,6 +223,7 @@
             deadline,
             units: head.units,
             width: head.width,
+            retry: head.retry,
         }));
         self.work(&mut state);
         Some(receiver)
--- a/src/bin/ivygate/request.rs
+++ b/src/bin/ivygate/request.rs
@@ -37,6 +37,8 @@
     pub units: f64,
     /// Nodes through which the customer's requests may come.
     pub width: u32,
+    /// Whether the client marks it as a repeat.
+    pub retry: bool,
     /// How long the client will wait.
     pub wait: Millis,
     /// Whether it must never run twice.
@@ -91,7 +93,8 @@
         }
         let (class, plan) = (class.clone(), plan.clone());
         let once = *effect == Effect::Unsafe;
-        Ok(Head { id: id.into(), class, plan, customer, units, width, wait, once })
+        let retry = one(headers, "req-retry")? == Some("1");
+        Ok(Head { id: id.into(), class, plan, customer, units, width, retry, wait, once })
     }
 
     /// Units and the number of nodes through which the customer may come.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -34,6 +34,8 @@
     pub cancelling: bool,
     /// Whether changes of the server list come only when asked for.
     pub list_on_request: bool,
+    /// Whether clients mark their retries.
+    pub retries_marked: bool,
     /// Longest retry-after that clients heed; `None` where they are not told.
     pub max_retry_after: Option<Millis>,
     /// Period over which the meter adds up use; `None` without a meter.
@@ -210,6 +212,8 @@
     pub units: f64,
     /// Number of gateways through which the customer's requests may come.
     pub width: u32,
+    /// Whether the client marks it as a repeat of a try that was refused or failed.
+    pub retry: bool,
 }
 
 /// How an attempt ended.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //! back end. It opens no connection and reads no clock: the caller feeds [`Event`]s to a [`Gateway`]
 //! and carries out the [`Action`]s that come back.
 
+mod cold;
 mod interface;
 mod rules;
 mod settings;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -2,6 +2,7 @@
 //!
 //! Order: constants, ordinary path of a quota, exceptions to it, servers, attempts, housekeeping.
 
+use crate::cold::Turns;
 use crate::interface::*;
 use crate::settings::{check, SettingsError};
 use crate::sketch::CountMinSketch;
@@ -19,17 +20,21 @@
 /// A set is wide where a gateway's even part of the burst is less than this part of a unit. What a customer
 /// asks beyond its quota then passes as the first of its requests at each gateway, and none of them can tell.
 const WIDE: f64 = 0.25;
-/// Part of those first requests that is refused where there is no meter, which would cut what follows, times
-/// the square of the cost of an excess: what passes beyond quotas must not cost over a tenth of all worth on
-/// a quiet day, though it earns about as much, and refusing is best where an excess is dear.
-const FIRST_REFUSED: f64 = 0.45;
 /// Where a gateway's own store takes no longer than this for a unit, it soon holds the customer by itself.
 const FIRST_REFILL: Millis = 15_000.0;
-/// Least share: with none passing no reading would come back, and an excess that other gateways send
-/// would cut this one's part to nothing.
+/// By how much the share of a customer of which no reading has told starts below one in a wide set, times the
+/// cost of an excess: first requests are what a busy customer sends beyond its quota there, and refusing them
+/// costs about what it saves. Unmarked retries pass elsewhere as first ones: more is cut (the second).
+const UNKNOWN_CUT: (f64, f64) = (0.5, 0.6);
+/// A request that follows another of its customer within this time is taken for the same one, come again.
+const RETRY_SPAN: Millis = 2_000.0;
+/// Least share: with none passing no reading would come back.
 const SHARE_LEAST: f64 = 0.05;
 /// Weight of one reading in the part of a customer's use that is this gateway's: some periods.
 const PART_WEIGHT: f64 = 0.25;
+/// The least that the part taken at first is worth, in units sent: one request that happened to come here in
+/// a metered period says little of a wide set's part.
+const PART_PRIOR: f64 = 0.3;
 /// How long a meter reading is believed, in milliseconds: some periods and a late report.
 const READING_LIFE: Millis = 6_000.0;
 /// And at the least for as many of this gateway's even units at the full rate.
@@ -46,8 +51,7 @@
 const FRESH_PART: f64 = 0.5;
 /// Part of an aim that an unmeasured request is taken to need on an idle server.
 const FIRST_WORK: f64 = 0.1;
-/// How many answers that guess is worth, and the one that a server is as quick as others: one unusually long
-/// request must not close a gateway.
+/// How many answers that guess is worth: one unusually long request must not close a gateway.
 const FIRST_ANSWERS: f64 = 4.0;
 /// Weight of one answer in a class's learned work; some seconds of traffic.
 const WORK_WEIGHT: f64 = 0.04;
@@ -61,11 +65,9 @@
 const WAITED_NOISE: f64 = 2.0;
 /// Time in which waiting seen loses most of its say, in shortest aims: as queues drain.
 const WAITED_LIFE: f64 = 1.5;
-/// Weight of one request in the own attempts that it finds out, from which those of others are guessed:
-/// of many gateways each keeps less than one out, and the one of the moment is no sign of a crowd.
+/// Weight of one request in the usual number of own attempts out, by which those of others are guessed.
 const OUT_WEIGHT: f64 = 0.05;
-/// Time in which a report loses most of its say, in shortest aims. A gateway that refuses hears no more
-/// reports: without this, one bad report would keep it refusing.
+/// Time in which a report loses most of its say, in shortest aims: who refuses hears no further ones.
 const REPORT_LIFE: f64 = 0.8;
 /// Slowing of a request by each other one on its server, as a part of its own work.
 const CROWDING: f64 = 0.45;
@@ -76,8 +78,7 @@
 /// Part of the shortest aim of all classes that the queue may take before a request of mean worth for
 /// work: a class with a long aim would else fill queues that starve the others.
 const QUEUE_ROOM: f64 = 0.25;
-/// Bounds on the factor that worth for work puts on QUEUE_ROOM: cheap requests are refused first, and with
-/// them those beyond a quota that still pay.
+/// Bounds on the factor that worth for work puts on QUEUE_ROOM: cheap requests are refused first.
 const QUEUE_FACTOR: (f64, f64) = (0.4, 2.0);
 /// Part of what is left of the aim after which a refused request may come back.
 const COMEBACK: f64 = 0.25;
@@ -105,11 +106,6 @@
 const BLOCK_LAST: f64 = 3.0;
 /// How long a server that turned a request away is left alone, in shortest aims: some services.
 const BLOCK_FULL: f64 = 0.12;
-/// Part of the work that a cold server may be sent before it falls over which is used: work varies.
-const COLD_SAFETY: f64 = 0.75;
-/// Length of a turn at a cold server, in windows: long enough for a gateway of a large fleet to have
-/// something to send in it, short enough that a window holds little more than its own turns.
-const COLD_TURN: f64 = 0.5;
 /// Period of housekeeping, in milliseconds.
 const TICK: Millis = 20.0;
 /// Shortest time between two log lines, in milliseconds.
@@ -146,6 +142,7 @@
     begun_with: f64,
     unread: u32,
     zone: Arc<str>,
+    turns: Turns,
     servers: BTreeMap<ServerId, Server>,
     /// Part of the attempts to each zone that got no connection of late, and when the last one ended.
     zones: BTreeMap<Arc<str>, (f64, Millis)>,
@@ -200,6 +197,7 @@
             zone: settings.zone.as_str().into(),
             classes: vec![ClassView::default(); settings.classes.len()],
             plans,
+            turns: Turns::new(&settings),
             settings,
             rng,
             now: f64::NEG_INFINITY,
@@ -299,7 +297,13 @@
             if customer.own < arrival.units.min(limits.burst) || limits.burst == 0.0 {
                 standing = Standing::Beyond;
             } else if standing == Standing::Within {
-                customer.credit = (customer.credit + customer.share).min(1.5);
+                // Until the meter has told of a customer, who comes again has earned no more by it, here or
+                // at another gateway: its first try has been counted.
+                let again = arrival.retry || now < customer.credited_at + RETRY_SPAN;
+                if customer.share >= 1.0 || !again || !customer.shares.is_empty() {
+                    customer.credit = (customer.credit + customer.share).min(1.5);
+                    customer.credited_at = now;
+                }
                 if customer.credit < 1.0 {
                     standing = Standing::Beyond;
                 }
@@ -319,33 +323,31 @@
         let limits = &self.settings.plans[plan];
         let part = ((1.0 / limits.excess_cost).clamp(BURST_PART.0, BURST_PART.1) / width).min(1.0);
         let slow = part * limits.rate * FIRST_REFILL < 1000.0;
-        let unmetered = self.settings.meter_period.is_none() && limits.burst < WIDE * width && slow;
-        let refused = if unmetered { FIRST_REFUSED * limits.excess_cost.min(1.0).powi(2) } else { 0.0 };
+        let unknown = limits.burst < WIDE * width && (slow || self.settings.meter_period.is_some());
+        let most = if self.settings.retries_marked { UNKNOWN_CUT.0 } else { UNKNOWN_CUT.1 };
+        let cut = if unknown { most * limits.excess_cost.min(1.0) } else { 0.0 };
+        let prior = PART_PRIOR.max(part * limits.rate);
         let rng = &mut self.rng;
         self.customers.entry(key.clone()).or_insert_with(|| Customer {
             plan,
             width,
             flagged_until: f64::NEG_INFINITY,
-            share: 1.0,
-            credit: 0.0,
+            share: 1.0 - cut,
+            // Gateways that all begin at nothing would all refuse their first request.
+            credit: if cut > 0.0 { rng.f64() } else { 0.0 },
+            credited_at: f64::NEG_INFINITY,
             shares: VecDeque::new(),
             mirror: (limits.burst - sent).max(0.0),
             part,
-            own: if refused > 0.0 && rng.f64() < refused {
-                // As if this gateway had sent on a unit for it not long ago.
-                -rng.f64() / part
-            } else {
-                (limits.burst - sent / part).max(0.0)
-            },
-            own_at: now,
+            own: (limits.burst - sent / part).max(0.0),
+            filled_at: now,
             unmetered: 0.0,
-            own_use: part * limits.rate,
-            metered_use: limits.rate,
+            own_use: prior,
+            metered_use: prior / part,
             reading: None,
             // An earlier life of this gateway may have emptied its part just before this one began.
             ceiling: limits.ceiling_burst.min(begun_with * limits.ceiling_burst + age * limits.ceiling_rate)
                 / width,
-            ceiling_at: now,
             seen_at: now,
         })
     }
@@ -384,19 +386,24 @@
                 if !fresh {
                     return;
                 }
-                age.min(READING_LIFE)
+                age
             }
             None => period,
         };
-        customer.reading = Some((now, percent));
+        let unknown = customer.reading.replace((now, percent)).is_none() && customer.share < 1.0;
         let metered = percent / 100.0 * limits.rate * elapsed / 1000.0;
         let keep = 1.0 - PART_WEIGHT;
         customer.own_use = keep * customer.own_use + customer.unmetered;
         customer.metered_use = keep * customer.metered_use + metered;
-        customer.part =
-            (customer.own_use / customer.metered_use.max(f64::MIN_POSITIVE)).clamp(0.5 / customer.width, 1.0);
+        let part = customer.own_use / customer.metered_use.max(f64::MIN_POSITIVE);
+        let part = part.clamp(0.5 / customer.width, 1.0);
+        if unknown {
+            // In a wide set what was sent before was scaled up by a guess.
+            customer.own = limits.burst - (limits.burst - customer.own) * customer.part / part;
+        }
+        customer.part = part;
         customer.unmetered = 0.0;
-        let gain = limits.rate * elapsed / 1000.0 * (1.0 - percent / 100.0);
+        let gain = limits.rate * elapsed.min(READING_LIFE) / 1000.0 * (1.0 - percent / 100.0);
         customer.mirror = (customer.mirror + gain).clamp(0.0, limits.burst);
         let empty = customer.mirror < 1.0;
         if percent > 100.0 && empty {
@@ -468,17 +475,10 @@
     }
 
     /// Rule four, by this gateway alone: the turn at a cold server that is on now, and how many requests of
-    /// this work this gateway may send in it. Each turn has room for so much of what the server can take,
-    /// it being taken to serve one request at a time, as every server can at least. Gateways take it by
-    /// their ranks, from one that server and turn draw: all draw the same, so that together they never send
-    /// more, and few turns are lost to gateways with nothing to send.
+    /// this work this gateway may send in it.
     fn cold_turn(&self, id: ServerId, server: &Server, work: Millis) -> (u64, u32) {
-        let (gateways, length) = (f64::from(self.settings.gateways), COLD_TURN * self.settings.fall_window);
-        let turn = ((self.now - server.started.unwrap_or(self.now)) / length).max(0.0) as u64;
-        let room = COLD_SAFETY * self.settings.fall_multiple * self.warmth(server) * length;
-        let first = gateways * fastrand::Rng::with_seed(turn << 32 | u64::from(id)).f64();
-        let place = (f64::from(self.settings.rank) + first) % gateways;
-        (turn, ((room / work.max(self.mean_work) - place) / gateways).ceil().max(0.0) as u32)
+        let (turn, _) = self.turns.turn(self.now - server.started.unwrap_or(self.now));
+        (turn, self.turns.requests(id, turn, self.warmth(server), work.max(self.mean_work)))
     }
 
     /// Expected work of a request on an idle server of the fleet.
@@ -577,8 +577,7 @@
         let view = &mut self.classes[class];
         let alone = done.elapsed / (1.0 + CROWDING * attempt.crowd);
         let pace = alone / work;
-        // Guards against queues that neither own attempts nor reports show: work of others, and work that
-        // a server goes on with after its attempt was given up. Also holds when all servers slow at once.
+        // Guards against queues that neither own attempts nor reports show, also if all servers slow at once.
         // May hurt after a run of unusually long requests, for as long as it fades.
         if matches!(done.outcome, Outcome::Ok | Outcome::Timeout) {
             let waited = done.elapsed - work * server.pace;
@@ -979,11 +978,9 @@
 }
 
 /// Takes in a server's report of the requests that it holds. Only a count of them is believed: busy
-/// processors are told as a mean over a time that has passed when the report arrives, and say nothing of the
-/// queue of now. All gateways read the same and leave a server together: by then one told to be busy is idle.
-/// Guards also against reports that are wrong, or late for any cause: what is refused for want of room rests
-/// on own attempts, as many of each other gateway, and the waiting seen in answers. May harm where others
-/// send far more than this gateway: until answers show the waiting, it takes theirs to be as few.
+/// processors are told as a mean over a time that has passed, and all gateways would leave a server together.
+/// What is refused for want of room rests on own attempts, as many of each other gateway, and waiting seen in
+/// answers; until these show it, others that send far more are taken to send as few.
 fn note_load(server: &mut Server, now: Millis, load: Load) {
     let Some(held) = load.in_flight.or(load.queue) else { return };
     let others = (held - server.out.len() as f64).max(0.0);
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -15,6 +15,8 @@
     #[serde(default)]
     az: String,
     balancers: u32,
+    #[serde(default)]
+    callers: Callers,
     classes: Vec<WireClass>,
     contracts: Vec<Contract>,
     discovery: String,
@@ -41,6 +43,12 @@
     second_copies: bool,
 }
 
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Callers {
+    marks_retry: bool,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct WireClass {
@@ -198,6 +206,7 @@
                 "subscribe" => true,
                 other => return Err(format!("unknown discovery '{other}'")),
             },
+            retries_marked: self.callers.marks_retry,
             max_retry_after: self.allowed.retry_after.then_some(self.allowed.max_retry_after_ms),
             meter_period: (self.domain.use_period_ms > 0.0).then_some(self.domain.use_period_ms),
             cross_zone_price: self.prices.cross_zone,
--- a/src/state.rs
+++ b/src/state.rs
@@ -134,6 +134,8 @@
     pub share: f64,
     /// Fraction of a request still to pass.
     pub credit: f64,
+    /// When a request last earned some.
+    pub credited_at: Millis,
     /// Shares and since when they were in force.
     pub shares: VecDeque<(Millis, f64)>,
     /// Estimate of the quota's store, drained by metered use.
@@ -142,7 +144,7 @@
     pub part: f64,
     /// Store drained by what this gateway sent, scaled up by that part.
     pub own: f64,
-    pub own_at: Millis,
+    pub filled_at: Millis,
     /// Units sent since the last reading.
     pub unmetered: f64,
     /// Units sent here and metered of all gateways, in the last periods.
@@ -152,17 +154,16 @@
     pub reading: Option<(Millis, f64)>,
     /// This gateway's part of the ceiling's store.
     pub ceiling: f64,
-    pub ceiling_at: Millis,
     pub seen_at: Millis,
 }
 
 impl Customer {
     /// Lets the stores fill up to now.
     pub fn fill(&mut self, now: Millis, limits: &Plan) {
-        self.own = (self.own + (now - self.own_at) / 1000.0 * limits.rate).min(limits.burst);
-        self.own_at = now;
-        let gain = (now - self.ceiling_at) / 1000.0 * limits.ceiling_rate / self.width;
+        let seconds = (now - self.filled_at) / 1000.0;
+        self.filled_at = now;
+        self.own = (self.own + seconds * limits.rate).min(limits.burst);
+        let gain = seconds * limits.ceiling_rate / self.width;
         self.ceiling = (self.ceiling + gain).min(limits.ceiling_burst / self.width);
-        self.ceiling_at = now;
     }
 }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -47,6 +47,7 @@
             deadline: now + 4000.0,
             units: 1.0,
             width: 2,
+            retry: false,
         };
         gateway.handle(now, Event::Arrival(arrival), &mut actions);
         for action in std::mem::take(&mut actions) {
