Send a cold server nothing in a turn that began before this gateway did

A gateway that is started anew within a turn of half a window has forgotten what it sent in it, and took its room once more: ten lives of one gateway in one turn sent 24 requests (tests/cold.rs, `cold_turn` in `rules.rs`, which kept the turn's count with the server's record only). Now such a turn is left out.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -475,10 +475,14 @@
     }
 
     /// Rule four, by this gateway alone: the turn at a cold server that is on now, and how many requests of
-    /// this work this gateway may send in it.
+    /// this work this gateway may send in it. None in one that began before this gateway did: an earlier life
+    /// of it may have sent in it.
     fn cold_turn(&self, id: ServerId, server: &Server, work: Millis) -> (u64, u32) {
-        let (turn, _) = self.turns.turn(self.now - server.started.unwrap_or(self.now));
-        (turn, self.turns.requests(id, turn, self.warmth(server), work.max(self.mean_work)))
+        let started = server.started.unwrap_or(self.now);
+        let (turn, begun) = self.turns.turn(self.now - started);
+        let whole = self.born.is_some_and(|born| born <= started + begun);
+        let work = work.max(self.mean_work);
+        (turn, if whole { self.turns.requests(id, turn, self.warmth(server), work) } else { 0 })
     }
 
     /// Expected work of a request on an idle server of the fleet.
