Make the next call to discovery in time for what counts as told after 6 s

Where calls are not free, a call was waited for 1 s for its connection and 3 s for its answer, a list's body for 3 s more, and after a failure up to 10 s were waited in a fleet of 100 nodes or more (`LAST_PER_NODE`, `ANSWER` and `CONNECT`); first calls and those after a broken watch were spread over 4.5 s, those after a silent one over 1.5 s behind 3 s of silence. With a turn of 2 s, at which discovery itself fails a call, each of these passes 6 s.

That two calls and the wait between them, and silence, wait and call, fit in 6 s is asserted when the program is compiled.

--- a/src/bin/ivygate/discovery.rs
+++ b/src/bin/ivygate/discovery.rs
@@ -1,6 +1,6 @@
 //! The list of app servers: starts from what is known, lists, watches, and comes back after failures.
 
-use crate::backoff::Pace;
+use crate::backoff::{Pace, LAST, SOON_MOST, TOLD};
 use crate::driver::Driver;
 use crate::objects::{Objects, Unreadable, LONGEST};
 use bytes::Bytes;
@@ -69,10 +69,9 @@
     1.0
 }
 
-/// Longest time for a connection.
-const CONNECT: Duration = Duration::from_secs(1);
-/// Longest time for an answer's head and for a whole list.
-const ANSWER: Duration = Duration::from_secs(3);
+/// Longest time for an answer where calls are not free, from the call's beginning: discovery itself fails a call
+/// that has waited 2 s for its turn.
+pub const ANSWER: Duration = Duration::from_millis(2200);
 /// Where calls are free the agent answers at once or, while discovery is down, not at all. What it gets at
 /// discovery's return counts as told at once, but a call that it has left unanswered may never be: each one
 /// is waited for no longer than this ...
@@ -82,6 +81,9 @@
 /// A watch has an empty line every 2 s; one that is silent for half as long again is dead without having said
 /// so. What a silent watch misses counts as told after 6 s: the rest is for opening the next one.
 const SILENCE: Duration = Duration::from_secs(3);
+// What is missed while a call fails, or a watch is silent, comes with the next call in time.
+const _: () = assert!(2 * ANSWER.as_millis() + LAST.as_millis() <= TOLD.as_millis());
+const _: () = assert!(SILENCE.as_millis() + SOON_MOST.as_millis() + ANSWER.as_millis() <= TOLD.as_millis());
 /// An object is written in one piece, on one line or on several. One that stops half way for this long has
 /// lost its end, and what comes next would be read as the rest of it.
 const PIECE: Duration = Duration::from_millis(250);
@@ -192,21 +194,30 @@
     }
 }
 
+/// One call, which has `longest` for its connection and its answer's head together.
 async fn call_once(agent: SocketAddr, path: String, longest: Duration) -> Option<Call> {
-    let stream = timeout(CONNECT.min(longest), TcpStream::connect(agent)).await.ok()?.ok()?;
+    timeout(longest, begin(agent, path)).await.ok()?
+}
+
+async fn begin(agent: SocketAddr, path: String) -> Option<Call> {
+    let stream = TcpStream::connect(agent).await.ok()?;
     stream.set_nodelay(true).ok()?;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
     let connection = Connection(tokio::task::spawn_local(connection).abort_handle());
     let request = Request::get(path).header("host", agent.to_string()).body(Empty::<Bytes>::new()).ok()?;
-    let answer = timeout(longest, sender.send_request(request)).await.ok()?.ok()?;
+    let answer = sender.send_request(request).await.ok()?;
     (answer.status() == StatusCode::OK).then(|| Call { body: answer.into_body(), _connection: connection })
 }
 
 async fn list(agent: SocketAddr, free: bool) -> Result<Listing, Trouble> {
-    let mut call = call(agent, "/discovery/hosts".to_owned(), free).await.ok_or(Trouble::Lost)?;
-    let body = http_body_util::Limited::new(&mut call.body, LONGEST).collect();
-    let longest = if free { ANSWER_FREE } else { ANSWER };
-    let body = timeout(longest, body).await.map_err(|_| Trouble::Lost)?.map_err(|_| Trouble::Lost)?;
+    let whole = async {
+        let mut call = call(agent, "/discovery/hosts".to_owned(), free).await.ok_or(Trouble::Lost)?;
+        let body = http_body_util::Limited::new(&mut call.body, LONGEST).collect();
+        // Where calls are free they go on until one is answered, and only its rest is waited for.
+        let longest = if free { ANSWER_FREE } else { ANSWER };
+        timeout(longest, body).await.map_err(|_| Trouble::Lost)?.map_err(|_| Trouble::Lost)
+    };
+    let body = if free { whole.await } else { timeout(ANSWER, whole).await.map_err(|_| Trouble::Lost)? }?;
     serde_json::from_slice(&body.to_bytes()).map_err(|_| Trouble::Unreadable)
 }
 
