--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::net::Shutdown;
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 use support::*;
 
@@ -68,3 +69,86 @@
     assert!(client.read().is_none());
     assert_eq!(app.seen(), 1);
 }
+
+#[test]
+fn a_request_whose_client_had_left_before_the_node_looked_is_never_sent_on() {
+    let app = App::start(|_| Reply::ok("done"));
+    let node = Node::with(&[target("a", app.address, "north", "SERVING")]);
+    // A connection to the app server stands, so that nothing has to come up first.
+    assert_eq!(node.ask(&request("order", "before")).status(), 200);
+    let mut kept = node.client();
+    assert_eq!(kept.ask(&request("read", "kept")).status(), 200);
+    let mut ports = Vec::new();
+    let mut half_closed = Vec::new();
+    node.halt(|| {
+        for (n, class) in ["read", "edit", "order"].into_iter().enumerate() {
+            // New connections, whole ones that end and such that end their sending only.
+            for half in [false, true] {
+                let mut client = node.client();
+                client.write(request(class, &format!("new-{n}-{half}")).as_bytes());
+                ports.push(client.stream.get_ref().local_addr().expect("an address"));
+                client.stream.get_ref().shutdown(Shutdown::Write).expect("it can be ended");
+                half_closed.extend(half.then_some(client));
+            }
+        }
+        // And one that has been used.
+        kept.write(request("order", "again").as_bytes());
+        ports.push(kept.stream.get_ref().local_addr().expect("an address"));
+        kept.stream.get_ref().shutdown(Shutdown::Write).expect("it can be ended");
+    });
+    for port in ports {
+        until("its connection is closed", || !is_held(node.address, port));
+    }
+    assert_eq!(node.ask(&request("order", "after")).status(), 200);
+    let seen: Vec<_> = app.requests.lock().expect("no panic").iter().map(id_of).collect();
+    assert_eq!(seen, ["before", "kept", "after"]);
+}
+
+#[test]
+fn a_further_attempt_is_not_made_for_a_client_that_left_during_the_first() {
+    for allowed in ["\"cancel\": true", "\"cancel\": false"] {
+        // The first attempt is turned away, as one that never ran, once the client has gone.
+        let gate = Arc::new((Mutex::new(false), Condvar::new()));
+        let held = gate.clone();
+        let app = App::start(move |request| {
+            if id_of(request) != "left" {
+                return Reply::ok("done");
+            }
+            let (open, opened) = &*held;
+            drop(opened.wait_while(open.lock().expect("no panic"), |open| !*open).expect("no panic"));
+            Reply::Answer("503 Service Unavailable", "Srv-Declined: 1\r\n", Vec::new())
+        });
+        let targets =
+            [target("a", app.address, "north", "SERVING"), target("b", app.address, "north", "SERVING")];
+        let list = listing(1, true, &targets);
+        let discovery = Discovery::start(list.clone());
+        let settings = SETTINGS.replace("\"cancel\": true", allowed);
+        let node = Node::start(&config(discovery.address, &list, &settings, 1024));
+        let mut client = node.client();
+        client.write(request("order", "left").as_bytes());
+        until("the first is out", || app.seen() == 1);
+        let port = client.stream.get_ref().local_addr().expect("an address");
+        drop(client);
+        until("its connection is closed", || !is_held(node.address, port));
+        *gate.0.lock().expect("no panic") = true;
+        gate.1.notify_all();
+        for n in 0..20 {
+            assert_eq!(node.ask(&request("order", &format!("n{n}"))).status(), 200);
+        }
+        let left = app.requests.lock().expect("no panic").iter().filter(|r| id_of(r) == "left").count();
+        assert_eq!(left, 1, "{allowed}");
+    }
+}
+
+#[test]
+fn a_client_that_leaves_while_the_node_winds_up_has_gone_as_well() {
+    for behind in [String::new(), request("order", "r2")] {
+        let (blocked, _discovery, mut node, mut client) = waiting("\"cancel\": true");
+        node.terminate();
+        until("it says that it ends", || node.up() != Some(200));
+        client.write(behind.as_bytes());
+        drop(client);
+        until("the connection to the app server is given up", || !connects(blocked.address));
+        assert_eq!(node.exit_code(), Some(0));
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -465,6 +465,18 @@
         self.signal("-HUP");
     }
 
+    /// Keeps the node from running while something is done.
+    pub fn halt(&self, done: impl FnOnce()) {
+        let stopped = || {
+            let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+            status.expect("it runs").lines().any(|line| line.starts_with("State:\tT"))
+        };
+        self.signal("-STOP");
+        until("the node is stopped", stopped);
+        done();
+        self.signal("-CONT");
+    }
+
     fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
@@ -545,6 +557,11 @@
     (blocked, discovery, node, client)
 }
 
+/// The id of a request that an app server has read.
+pub fn id_of(request: &Message) -> String {
+    request.header("req-id").unwrap_or_default().to_owned()
+}
+
 /// A request of a class with an id; unsafe and keyed ones carry a small body.
 pub fn request(class: &str, id: &str) -> String {
     request_with(class, id, "large", "15000m")
