--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -132,3 +132,18 @@
     assert!(begun.elapsed() < Duration::from_millis(2500), "{:?}", begun.elapsed());
     assert_eq!(discovery.lists.load(Ordering::SeqCst), 1);
 }
+
+#[test]
+fn an_agent_that_refuses_all_calls_leaves_the_list_that_is_known_in_force() {
+    for mode in ["automatic", "subscribe"] {
+        let (apps, discovery, list) = two();
+        let settings = SETTINGS.replace("automatic", mode);
+        // Nobody listens there.
+        let refusing = Blocked::new().address;
+        let node = Node::start(&config(refusing, &list, &settings, 1024));
+        assert_eq!(node.ask(&request("read", "r")).body, b"old");
+        discovery.set(listing(2, true, &[target("b", apps[1].address, "north", "SERVING")]));
+        node.reload(&config(discovery.address, &list, &settings, 1024));
+        until("the new server is used", || node.ask(&request("read", "r")).body == b"new");
+    }
+}
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -152,3 +152,22 @@
         assert_eq!(node.exit_code(), Some(0));
     }
 }
+
+#[test]
+fn a_client_that_resets_half_way_leaves_nothing_behind() {
+    let app = App::start(|_| Reply::ok("done"));
+    let node = Node::with(&[target("a", app.address, "north", "SERVING")]);
+    let (whole, before) = (request("order", "r1"), node.descriptors());
+    // In the first line, in a header, between head and body, in the body.
+    for cut in [5, 40, whole.len() - 4, whole.len() - 1] {
+        let mut client = node.client();
+        client.write(&whole.as_bytes()[..cut]);
+        let stream = client.stream.get_ref();
+        let port = stream.local_addr().expect("an address");
+        socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)).expect("it can be set");
+        drop(client);
+        until("its connection is closed", || !is_held(node.address, port));
+    }
+    until("no descriptor is held for them", || node.descriptors() <= before);
+    assert_eq!((app.seen(), node.ask(&whole).status()), (0, 200));
+}
