--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,7 +25,7 @@
 /// By how much the share of a customer of which no reading has told starts below one in a wide set, times the
 /// cost of an excess: first requests are what a busy customer sends beyond its quota there, and refusing them
 /// costs about what it saves. Unmarked retries pass elsewhere as first ones: more is cut (the second).
-const UNKNOWN_CUT: (f64, f64) = (0.5, 0.6);
+const UNKNOWN_CUT: (f64, f64) = (0.4, 0.6);
 /// A request that follows another of its customer within this time is taken for the same one, come again.
 const RETRY_SPAN: Millis = 2_000.0;
 /// Least share: with none passing no reading would come back.
