Look for a client's end before its request is sent on

A client connects, asks and closes while the node stands still; when it goes on, its request went to an app server whose connection stood idle. Others of the same moment, which need a connection first, were given up in time: the end is noticed, but a turn of the loop late. Server::answer handed the request on without a look at the socket past tokio. Now it looks, and answers 400.

--- a/src/bin/ivygate/inbound.rs
+++ b/src/bin/ivygate/inbound.rs
@@ -1,7 +1,7 @@
 //! A client's stream. While a request is open, what its client goes on to say is read ahead: hyper reads no
 //! further than it can hold of a next request, and would not notice behind it that the client has left.
 
-use crate::socket::has_news;
+use crate::socket::{has_ended, has_news};
 use bytes::{Buf, BytesMut};
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -44,6 +44,11 @@
         !self.0.ahead.borrow().is_empty() || has_news(&self.0.stream.borrow())
     }
 
+    /// Whether the client has ended its sending right behind what has been read.
+    pub fn ended(&self) -> bool {
+        self.0.ahead.borrow().is_empty() && has_ended(&self.0.stream.borrow())
+    }
+
     /// Whether the client has sent more ahead of its answer than is kept, so that nothing behind that answer
     /// can be read.
     pub fn overrun(&self) -> bool {
--- a/src/bin/ivygate/server.rs
+++ b/src/bin/ivygate/server.rs
@@ -351,6 +351,9 @@
             (self.up(&request), true)
         } else {
             match self.read(request, begun).await {
+                // The client may have left before this node looked: tokio may not have heard yet, and a
+                // connection to an app server that stands takes the request at once.
+                Ok(_) if inbound.ended() => (plain(StatusCode::BAD_REQUEST, "the client has left"), false),
                 Ok(ask) => {
                     client.enter(Phase::Open);
                     match self.ask(ask).await {
--- a/src/bin/ivygate/socket.rs
+++ b/src/bin/ivygate/socket.rs
@@ -11,3 +11,11 @@
     let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
     !peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
 }
+
+/// Whether the other side has ended its sending, or the connection has broken, and nothing is left unread.
+pub fn has_ended(stream: &TcpStream) -> bool {
+    match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+        Ok(unread) => unread == 0,
+        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+    }
+}
