--- /dev/null
+++ b/lab/faults/tests/process.rs
@@ -0,0 +1,46 @@
+//! Faults as a process suffers them.
+
+use ivygate_faults::{errno, Faults, Point};
+use std::process::Command;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Seconds of Unix time by `date` under faults.
+fn seconds(faults: &Faults) -> i64 {
+    let mut command = Command::new("date");
+    faults.apply(&mut command);
+    let output = command.arg("+%s").output().expect("date runs");
+    String::from_utf8_lossy(&output.stdout).trim().parse().expect("a number")
+}
+
+#[test]
+fn the_wall_clock_steps_either_way() {
+    let faults = Faults::new().expect("a control file");
+    for ahead in [0, 3_600, -3_600] {
+        faults.step_wall_clock(ahead * 1_000).expect("it is set");
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_secs() as i64;
+        assert!((seconds(&faults) - now - ahead).abs() <= 2, "{ahead}");
+    }
+}
+
+#[test]
+fn calls_fail_as_often_as_they_are_told_to_and_are_counted() {
+    let faults = Faults::new().expect("a control file");
+    let reads = || {
+        let mut command = Command::new("head");
+        faults.apply(&mut command);
+        command
+            .args(["-c", "1", file!()])
+            .current_dir(env!("CARGO_MANIFEST_DIR").trim_end_matches("lab/faults"));
+        command.output().expect("head runs").status.success()
+    };
+    assert!(reads());
+    faults.fail_next(Point::Read, 1, errno::EIO).expect("it is set");
+    assert!(!reads());
+    assert_eq!(faults.injected(Point::Read).expect("it is told"), 1);
+    assert!(reads());
+    faults.fail_often(Point::Read, 1_000, errno::EIO).expect("it is set");
+    assert!(!reads() && !reads());
+    faults.heal().expect("it is set");
+    assert!(reads());
+    assert_eq!(faults.injected(Point::Read).expect("it is told"), 3);
+}
