Log through tracing, and go on where the log cannot be written

Cause: eprintln! panics where standard error takes nothing; the panic ended the task of Driver::run_timers (driver.rs, carry_out of Action::Log), so that no attempt was given up and no request answered at its deadline for the rest of the process's life. Change: a log with levels and fields (tracing, RELAY_LOG) whose own errors are dropped; the one plain line at a failed start is written as far as it can be.

--- a/src/bin/ivygate/driver.rs
+++ b/src/bin/ivygate/driver.rs
@@ -403,7 +403,7 @@
             Action::Timer { token, at } => {
                 self.set_timer(state, at, Timer::Gateway(token));
             }
-            Action::Log(summary) => eprintln!("{summary}"),
+            Action::Log(summary) => tracing::info!("{summary}"),
             // This node's discovery is always subscribed to.
             Action::Subscribe => {}
         }
--- a/src/bin/ivygate/main.rs
+++ b/src/bin/ivygate/main.rs
@@ -6,6 +6,7 @@
 mod discovery;
 mod driver;
 mod inbound;
+mod log;
 mod request;
 mod server;
 mod socket;
@@ -45,10 +46,11 @@
 }
 
 fn main() -> ExitCode {
+    log::init();
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("ivygate: {error}");
+            log::plain_line(format_args!("ivygate: {error}"));
             ExitCode::FAILURE
         }
     }
@@ -82,7 +84,7 @@
     }
     let listener =
         listen(config.listen).map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
-    eprintln!("ivygate: listening on {}", listener.local_addr()?);
+    tracing::info!("listening on {}", listener.local_addr()?);
     tokio::task::spawn_local(driver.clone().run_timers());
     let (agent, agents) = watch::channel(config.discovery);
     let backoff = Backoff::new(config.asking, config.seed);
@@ -116,11 +118,11 @@
     while hangups.recv().await.is_some() {
         match Config::load() {
             Ok(config) => {
-                eprintln!("ivygate: configuration read anew; discovery is at {}", config.discovery);
+                tracing::info!(discovery = %config.discovery, "configuration read anew");
                 agent.send_replace(config.discovery);
             }
             // Guards a running node against a file that is half written or wrong.
-            Err(error) => eprintln!("ivygate: the configuration stays as it was: {error}"),
+            Err(error) => tracing::warn!(%error, "the configuration stays as it was"),
         }
     }
 }
