--- a/tests/syscalls.rs
+++ b/tests/syscalls.rs
@@ -6,6 +6,15 @@
 use std::time::{Duration, Instant};
 use support::*;
 
+/// A node that suffers faults, before one app server that answers with the request's id.
+fn node(faults: &Faults) -> (App, Node) {
+    let app = App::start(|request| Reply::ok(&id_of(request)));
+    let list = listing(1, true, &[target("a", app.address, "north", "SERVING")]);
+    let discovery = Discovery::start(list.clone());
+    let node = Node::start_with(&config(discovery.address, &list, SETTINGS, 1024), faults);
+    (app, node)
+}
+
 #[test]
 fn a_log_that_cannot_be_written_stops_nothing() {
     for error in [errno::ENOSPC, errno::EIO, errno::EPIPE] {
@@ -29,3 +38,35 @@
         assert!(answer.fails() && begun.elapsed() < Duration::from_millis(3000), "{:?}", begun.elapsed());
     }
 }
+
+#[test]
+fn interrupted_reads_and_writes_break_no_connection() {
+    let faults = Faults::new().expect("a control file");
+    let (_app, node) = node(&faults);
+    let mut client = node.client();
+    for point in [Point::Receive, Point::Send] {
+        faults.fail_often(point, 300, errno::EINTR).expect("it is set");
+        for number in 0..50 {
+            let id = format!("r{}-{number}", point as u8);
+            assert_eq!(client.ask(&request("order", &id)).body, id.as_bytes());
+        }
+        assert!(faults.injected(point).expect("it is told") > 0);
+        faults.heal().expect("it is set");
+    }
+}
+
+#[test]
+fn short_reads_and_writes_are_gone_on_with() {
+    let faults = Faults::new().expect("a control file");
+    let (_app, node) = node(&faults);
+    let mut client = node.client();
+    for point in [Point::ShortReceive, Point::ShortSend] {
+        faults.fail_often(point, 500, 7).expect("it is set");
+        for number in 0..10 {
+            let id = format!("r{}-{number}", point as u8);
+            assert_eq!(client.ask(&request("order", &id)).body, id.as_bytes());
+        }
+        assert!(faults.injected(point).expect("it is told") > 0);
+        faults.heal().expect("it is set");
+    }
+}
