Go on behind interrupted and short reads and writes

Cause: an EINTR at recv or send was passed to hyper, which ended the connection with its open request; in Inbound::poll_end it counted as the client's leaving, in has_ended as well. And the runtime clears readiness behind a transfer that was shorter than asked for (as epoll allows with edge triggers), so that a transfer cut short by a signal was waited on for good. Change: one stream for clients, servers and discovery that repeats interrupted calls and asks the socket once more behind a short one.

--- a/src/bin/ivygate/discovery.rs
+++ b/src/bin/ivygate/discovery.rs
@@ -1,6 +1,7 @@
 //! The list of app servers: starts from what is known, lists, watches, and comes back after failures.
 
 use crate::driver::Driver;
+use crate::stream::ResilientStream;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
@@ -247,7 +248,7 @@
 async fn begin(agent: SocketAddr, path: String) -> Result<Call, Trouble> {
     let stream = TcpStream::connect(agent).await.map_err(|_| Trouble::Lost)?;
     stream.set_nodelay(true).map_err(|_| Trouble::Lost)?;
-    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
+    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(ResilientStream::new(stream)));
     let (mut sender, connection) = handshake.await.map_err(|_| Trouble::Lost)?;
     let connection = Connection(tokio::task::spawn_local(connection).abort_handle());
     let request = Request::get(path).header("host", agent.to_string());
--- a/src/bin/ivygate/inbound.rs
+++ b/src/bin/ivygate/inbound.rs
@@ -2,6 +2,7 @@
 //! further than it can hold of a next request, and would not notice behind it that the client has left.
 
 use crate::socket::{has_ended, has_news};
+use crate::stream::ResilientStream;
 use bytes::{Buf, BytesMut};
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -23,7 +24,7 @@
 pub struct Inbound(Rc<Shared>);
 
 struct Shared {
-    stream: RefCell<TcpStream>,
+    stream: RefCell<ResilientStream>,
     /// Read ahead, and not yet by hyper.
     ahead: RefCell<BytesMut>,
     /// More came than is kept.
@@ -36,17 +37,18 @@
     /// A stream that calls `on_read` whenever hyper has read something of it.
     pub fn new(stream: TcpStream, on_read: impl Fn() + 'static) -> Self {
         let (ahead, overrun) = (RefCell::default(), Cell::default());
-        Self(Rc::new(Shared { stream: RefCell::new(stream), ahead, overrun, on_read: Box::new(on_read) }))
+        let stream = RefCell::new(ResilientStream::new(stream));
+        Self(Rc::new(Shared { stream, ahead, overrun, on_read: Box::new(on_read) }))
     }
 
     /// Whether something has come that hyper has not read, be it the end.
     pub fn has_news(&self) -> bool {
-        !self.0.ahead.borrow().is_empty() || has_news(&self.0.stream.borrow())
+        !self.0.ahead.borrow().is_empty() || has_news(self.0.stream.borrow().get_ref())
     }
 
     /// Whether the client has ended its sending right behind what has been read.
     pub fn ended(&self) -> bool {
-        self.0.ahead.borrow().is_empty() && has_ended(&self.0.stream.borrow())
+        self.0.ahead.borrow().is_empty() && has_ended(self.0.stream.borrow().get_ref())
     }
 
     /// Whether the client has sent more ahead of its answer than is kept, so that nothing behind that answer
@@ -107,18 +109,6 @@
         Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(cx, buf)
     }
 
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.0.stream.borrow().is_write_vectored()
-    }
-
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut *self.0.stream.borrow_mut()).poll_flush(cx)
     }
--- a/src/bin/ivygate/main.rs
+++ b/src/bin/ivygate/main.rs
@@ -10,6 +10,7 @@
 mod request;
 mod server;
 mod socket;
+mod stream;
 mod upstream;
 
 use clock::Clock;
--- a/src/bin/ivygate/upstream.rs
+++ b/src/bin/ivygate/upstream.rs
@@ -1,6 +1,7 @@
 //! Connections to app servers and the attempts on them. One request at a time on each connection.
 
 use crate::socket::has_news;
+use crate::stream::ResilientStream;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -246,6 +247,7 @@
         stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
         let written = Rc::new(Cell::new(0));
         let resting = Rc::new(Cell::new(false));
+        let stream = ResilientStream::new(stream);
         let counted = Counted { stream, written: written.clone(), resting: resting.clone(), _slot: slot };
         let (sender, connection) = hyper::client::conn::http1::Builder::new()
             .max_buf_size(HEAD_MOST)
@@ -406,21 +408,12 @@
 
 /// A stream that counts the bytes that it has taken for writing.
 struct Counted {
-    stream: TcpStream,
+    stream: ResilientStream,
     written: Rc<Cell<u64>>,
     resting: Rc<Cell<bool>>,
     _slot: Slot,
 }
 
-impl Counted {
-    fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(bytes)) = &written {
-            self.written.set(self.written.get() + *bytes as u64);
-        }
-        written
-    }
-}
-
 impl AsyncRead for Counted {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -428,7 +421,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         // Guards against a stray second answer that tokio has not noticed yet.
-        if self.resting.get() && has_news(&self.stream) {
+        if self.resting.get() && has_news(self.stream.get_ref()) {
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
         Pin::new(&mut self.stream).poll_read(cx, buf)
@@ -438,20 +431,10 @@
 impl AsyncWrite for Counted {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.count(written)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.count(written)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        if let Poll::Ready(Ok(bytes)) = &written {
+            self.written.set(self.written.get() + *bytes as u64);
+        }
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
