Tests, failing: failed accepts keep no connection waiting and none is left behind

200 aborted connections cost 4.2 s; a node that winds up ends accepting at the first EINTR, ENOBUFS or EPROTO and leaves requests in the kernel's queue unanswered.

--- a/tests/syscalls.rs
+++ b/tests/syscalls.rs
@@ -70,3 +70,46 @@
         faults.heal().expect("it is set");
     }
 }
+
+#[test]
+fn connections_aborted_before_they_are_accepted_keep_no_other_waiting() {
+    const ABORTED: u32 = 200;
+    let faults = Faults::new().expect("a control file");
+    let (_app, node) = node(&faults);
+    for error in [errno::ECONNABORTED, errno::EPROTO, errno::EINTR, errno::EHOSTUNREACH] {
+        faults.fail_next(Point::Accept, ABORTED, error).expect("it is set");
+        let begun = Instant::now();
+        assert_eq!(node.ask(&request("order", "r1")).body, b"r1");
+        assert!(begun.elapsed() < Duration::from_secs(1), "{error}: {:?}", begun.elapsed());
+        assert!(faults.injected(Point::Accept).expect("it is told") >= ABORTED);
+    }
+}
+
+#[test]
+fn a_node_that_ends_takes_what_waits_in_the_queue_whatever_accept_says() {
+    for error in [errno::EINTR, errno::ENOBUFS, errno::EPROTO, errno::ENFILE] {
+        let faults = Faults::new().expect("a control file");
+        let (_app, mut node) = node(&faults);
+        // From the signal on no connection can be accepted, until long past the time in which the node goes on to
+        // accept them at leisure.
+        faults.fail_often(Point::Accept, 1000, error).expect("it is set");
+        node.terminate();
+        let signalled = Instant::now();
+        let mut clients: Vec<_> = (0..4).map(|_| node.client()).collect();
+        for (number, client) in clients.iter_mut().enumerate() {
+            client.write(request("order", &format!("r{number}")).as_bytes());
+        }
+        until("accepting has failed for long enough", || {
+            assert!(node.runs(), "{error}: the node left connections in its queue");
+            signalled.elapsed() > Duration::from_millis(900)
+        });
+        assert!(faults.injected(Point::Accept).expect("it is told") > 0);
+        faults.heal().expect("it is set");
+        for (number, client) in clients.iter_mut().enumerate() {
+            let answer = client.read().unwrap_or_else(|| panic!("{error}: no answer to request {number}"));
+            assert_eq!(answer.body, format!("r{number}").as_bytes());
+        }
+        drop(clients);
+        assert_eq!(node.exit_code(), Some(0));
+    }
+}
