Accept again at once after failures of one connection, and until the queue is empty

Cause: Server::accept slept 20 ms after any failed accept, and the loop behind the signal to end (server.rs) took any error but ECONNABORTED and EMFILE for an empty queue. Change: shortages pause, other failures are followed at once, with a pause after 64 in a row; only WouldBlock ends the last loop, or 2 s.

--- /dev/null
+++ b/src/bin/ivygate/accept.rs
@@ -0,0 +1,44 @@
+//! What to do where a connection could not be accepted.
+
+use crate::shortage::is_shortage;
+use std::io;
+use std::time::Duration;
+use tokio::task::yield_now;
+use tokio::time::sleep;
+
+/// Pause after a failure for want of descriptors or memory, which do not come back at once.
+pub const SHORTAGE_PAUSE: Duration = Duration::from_millis(20);
+/// So many failures of other kinds in a row are followed by a pause: a listener that is broken must not take all
+/// the processor's time.
+const BURST: u32 = 64;
+/// That pause.
+const BURST_PAUSE: Duration = Duration::from_millis(1);
+
+/// Failures to accept since the last success.
+#[derive(Default)]
+pub struct AcceptFailures {
+    in_a_row: u32,
+}
+
+impl AcceptFailures {
+    /// A connection was accepted.
+    pub fn succeeded(&mut self) {
+        self.in_a_row = 0;
+    }
+
+    /// Waits until it is worth to try again. Most errors are those of one connection, which is gone by now
+    /// (`ECONNABORTED`, `EPROTO` and whatever its network says), or of no connection (`EINTR`): the next one is
+    /// asked for at once.
+    pub async fn wait(&mut self, error: &io::Error) {
+        self.in_a_row += 1;
+        if is_shortage(error) {
+            tracing::warn!(%error, "no connection can be accepted");
+            sleep(SHORTAGE_PAUSE).await;
+        } else if self.in_a_row % BURST == 0 {
+            tracing::warn!(%error, failures = self.in_a_row, "no connection could be accepted");
+            sleep(BURST_PAUSE).await;
+        } else {
+            yield_now().await;
+        }
+    }
+}
--- a/src/bin/ivygate/main.rs
+++ b/src/bin/ivygate/main.rs
@@ -1,6 +1,7 @@
 //! One edge node on real sockets: clients on one side, app servers on the other, and between them the
 //! decisions of the library.
 
+mod accept;
 mod clock;
 mod config;
 mod discovery;
@@ -9,6 +10,7 @@
 mod log;
 mod request;
 mod server;
+mod shortage;
 mod socket;
 mod stream;
 mod upstream;
--- a/src/bin/ivygate/server.rs
+++ b/src/bin/ivygate/server.rs
@@ -1,10 +1,11 @@
 //! The side of the clients: accepts connections, reads and checks requests, and writes the one answer to
 //! each.
 
+use crate::accept::{AcceptFailures, SHORTAGE_PAUSE};
 use crate::driver::{Answer, Ask, Driver, Message};
 use crate::inbound::Inbound;
 use crate::request::Reader;
-use crate::upstream::{out_of_descriptors, BODY_MOST};
+use crate::upstream::BODY_MOST;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -52,13 +53,14 @@
 const LOOK: Duration = Duration::from_millis(200);
 /// Time in which a connection that is to close may write what it still has.
 const CLOSING: Duration = Duration::from_secs(1);
-/// Pause after an accept failed: what it lacks, descriptors or memory, does not come back at once.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// After the signal to end, idle connections are kept this long: clients go on using what stays open, and
 /// new connections come for up to 0.4 s.
 const WIND_UP_IDLE: Duration = Duration::from_millis(500);
 /// And new ones are taken for this much longer, for requests that crossed the end of an idle one.
 const WIND_UP_ACCEPT: Duration = Duration::from_millis(150);
+/// What waits in the kernel's queue then is accepted for this long, should that fail: behind it too little time is
+/// left before the node is killed.
+const ACCEPT_LAST: Duration = Duration::from_secs(2);
 /// The node is left this long after the signal to end, beyond the longest time that a client waits ...
 const KILL: Millis = 700.0;
 /// ... which counts for no more than this.
@@ -172,6 +174,7 @@
     /// Accepts connections until told to stop.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         let mut look = interval(LOOK);
+        let mut failures = AcceptFailures::default();
         loop {
             // Guards the descriptors: at the bound another client makes room, or the next waits in the
             // kernel's queue until one ends.
@@ -180,27 +183,39 @@
             tokio::select! {
                 () = self.freed.notified(), if full => {}
                 accepted = listener.accept(), if !full => match accepted {
-                    Ok((stream, _)) => self.take(stream),
-                    // Guards against spinning while the process has no descriptor left.
-                    Err(_) => sleep(ACCEPT_PAUSE).await,
+                    Ok((stream, _)) => {
+                        failures.succeeded();
+                        self.take(stream);
+                    }
+                    Err(error) => failures.wait(&error).await,
                 },
                 _ = look.tick() => self.close_overdue(),
                 () = self.stop.notified() => break,
             }
         }
-        // What the machine has accepted by now counts as taken. Asked past tokio, which may not have heard yet.
+        if timeout(ACCEPT_LAST, self.accept_rest(&listener)).await.is_err() {
+            tracing::error!("connections are left in the queue: none could be accepted");
+        }
+    }
+
+    /// Accepts what waits in the kernel's queue: what the machine has accepted by now counts as taken. Asked past
+    /// tokio, which may not have heard yet.
+    async fn accept_rest(self: &Rc<Self>, listener: &TcpListener) {
+        let mut failures = AcceptFailures::default();
         loop {
             self.make_room();
             if self.clients.borrow().len() >= self.most {
-                let _ = timeout(ACCEPT_PAUSE, self.freed.notified()).await;
+                let _ = timeout(SHORTAGE_PAUSE, self.freed.notified()).await;
                 continue;
             }
-            match accept_now(&listener) {
-                Ok(stream) => self.take(stream),
-                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
-                Err(error) if out_of_descriptors(&error) => sleep(ACCEPT_PAUSE).await,
+            match accept_now(listener) {
+                Ok(stream) => {
+                    failures.succeeded();
+                    self.take(stream);
+                }
                 // None is left.
-                Err(_) => return,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) => failures.wait(&error).await,
             }
         }
     }
--- a/src/bin/ivygate/upstream.rs
+++ b/src/bin/ivygate/upstream.rs
@@ -1,5 +1,6 @@
 //! Connections to app servers and the attempts on them. One request at a time on each connection.
 
+use crate::shortage::is_shortage;
 use crate::socket::has_news;
 use crate::stream::ResilientStream;
 use bytes::Bytes;
@@ -241,7 +242,7 @@
         let slot = Slot::take(&self.open);
         let stream = match timeout(self.connect, TcpStream::connect(place.address)).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) if out_of_descriptors(&error) => return Err(Outcome::Moot),
+            Ok(Err(error)) if is_shortage(&error) => return Err(Outcome::Moot),
             Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
         };
         stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
@@ -265,11 +266,6 @@
     }
 }
 
-/// Whether an error says that this process or machine has no descriptor left (EMFILE, ENFILE).
-pub fn out_of_descriptors(error: &io::Error) -> bool {
-    matches!(error.raw_os_error(), Some(23 | 24))
-}
-
 /// Why there was no whole answer.
 enum Broken {
     /// The connection ended or broke.
