--- a/tests/syscalls.rs
+++ b/tests/syscalls.rs
@@ -114,3 +114,49 @@
         assert_eq!(node.exit_code(), Some(0));
     }
 }
+
+#[test]
+fn a_node_starts_although_no_socket_is_to_be_had_for_a_moment() {
+    for error in [errno::ENFILE, errno::ENOBUFS] {
+        let faults = Faults::new().expect("a control file");
+        faults.fail_next(Point::Socket, 3, error).expect("it is set");
+        let (_app, node) = node(&faults);
+        assert_eq!(node.ask(&request("order", "r1")).body, b"r1");
+    }
+}
+
+#[test]
+fn a_moment_without_ports_or_buffers_costs_no_request_and_no_server_its_name() {
+    for (point, error) in [
+        (Point::Connect, errno::EADDRNOTAVAIL),
+        (Point::Connect, errno::ENOBUFS),
+        (Point::Connect, errno::ENETUNREACH),
+        (Point::Connect, errno::EINTR),
+        (Point::Socket, errno::ENFILE),
+        (Point::Socket, errno::ENOBUFS),
+    ] {
+        let faults = Faults::new().expect("a control file");
+        let (app, node) = node(&faults);
+        // More than the attempts that a request may have.
+        faults.fail_next(point, 8, error).expect("it is set");
+        let answer = node.ask(&request("order", "r1"));
+        assert_eq!(answer.body, b"r1", "{point:?} {error}");
+        assert_eq!(app.accepted.load(std::sync::atomic::Ordering::SeqCst), 1);
+    }
+}
+
+#[test]
+fn a_configuration_that_cannot_be_read_for_a_moment_is_read_all_the_same() {
+    let faults = Faults::new().expect("a control file");
+    let (_app, node) = node(&faults);
+    let app = App::start(|_| Reply::ok("new"));
+    let list = listing(1, true, &[target("b", app.address, "north", "SERVING")]);
+    let discovery = Discovery::start(list.clone());
+    for (point, error) in [(Point::Open, errno::ENFILE), (Point::Read, errno::EIO)] {
+        let before = discovery.calls();
+        faults.fail_next(point, 2, error).expect("it is set");
+        node.reload(&config(discovery.address, &list, SETTINGS, 1024));
+        until("the new agent is called", || discovery.calls() > before);
+    }
+    until("its list is in force", || node.ask(&request("read", "r")).body == b"new");
+}
