Go on through a moment's shortage at the start, at connections and at reloads

Cause: Upstream::connect (upstream.rs) ended an attempt at once on ENFILE (moot) or ENOBUFS, EADDRNOTAVAIL, ENETUNREACH (a failure of the server, which ejects it), so that a request used up its attempts within a millisecond; listen() (main.rs) gave up at the first error; reload_on (main.rs) read the file once.

--- a/src/bin/ivygate/main.rs
+++ b/src/bin/ivygate/main.rs
@@ -7,7 +7,9 @@
 mod discovery;
 mod driver;
 mod inbound;
+mod listen;
 mod log;
+mod reload;
 mod request;
 mod server;
 mod shortage;
@@ -20,12 +22,12 @@
 use discovery::Discovery;
 use driver::Driver;
 use ivygate::{Backoff, Gateway, Settings};
+use listen::listen;
+use reload::{load_through_trouble, reload_on};
 use request::Reader;
 use server::Server;
-use std::net::SocketAddr;
 use std::process::ExitCode;
-use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 use upstream::Upstream;
@@ -60,7 +62,7 @@
 }
 
 fn start() -> Result<(), Box<dyn std::error::Error>> {
-    let config = Config::load()?;
+    let config = load_through_trouble()?;
     let kept = upstream_sockets(config.sockets) * KEPT_PART.0 / KEPT_PART.1;
     let settings = Settings {
         connection_rest: upstream::REST.as_secs_f64() * 1000.0,
@@ -85,8 +87,9 @@
     if let Some(known) = config.known {
         driver.list(known);
     }
-    let listener =
-        listen(config.listen).map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
+    let listener = listen(config.listen)
+        .await
+        .map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
     tracing::info!("listening on {}", listener.local_addr()?);
     tokio::task::spawn_local(driver.clone().run_timers());
     let (agent, agents) = watch::channel(config.discovery);
@@ -103,29 +106,3 @@
     server.wind_up(accepting).await;
     Ok(())
 }
-
-/// Listens with a queue that holds a crowd: one that runs over costs whoever comes next a second, until the
-/// system tries again.
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    const QUEUE: u32 = 1024;
-    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
-    // A node that starts again takes over its address while old connections still linger.
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(QUEUE)
-}
-
-/// Reads the configuration anew at each SIGHUP, also while the node winds up. What a running node takes from
-/// it is the address of discovery; all else stays as it was at the start.
-async fn reload_on(mut hangups: Signal, agent: watch::Sender<SocketAddr>) {
-    while hangups.recv().await.is_some() {
-        match Config::load() {
-            Ok(config) => {
-                tracing::info!(discovery = %config.discovery, "configuration read anew");
-                agent.send_replace(config.discovery);
-            }
-            // Guards a running node against a file that is half written or wrong.
-            Err(error) => tracing::warn!(%error, "the configuration stays as it was"),
-        }
-    }
-}
--- a/src/bin/ivygate/upstream.rs
+++ b/src/bin/ivygate/upstream.rs
@@ -23,7 +23,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{timeout, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
 /// Longest body of a message.
 pub const BODY_MOST: usize = 64 << 10;
@@ -46,6 +46,11 @@
 /// Where the settings tell no such time.
 const KEEP_UNTOLD: Duration = Duration::from_secs(4);
 
+/// A connection that fails for want of ports, buffers or descriptors is tried again for this long ...
+const SHORTAGE_PATIENCE: Duration = Duration::from_millis(200);
+/// ... with this pause between.
+const SHORTAGE_PAUSE: Duration = Duration::from_millis(10);
+
 /// What an attempt came to.
 pub struct End {
     /// Its outcome, by the protocol's table.
@@ -240,11 +245,8 @@
             return Err(Outcome::Moot);
         }
         let slot = Slot::take(&self.open);
-        let stream = match timeout(self.connect, TcpStream::connect(place.address)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) if is_shortage(&error) => return Err(Outcome::Moot),
-            Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
-        };
+        let connected = timeout(self.connect, connect_through_shortage(place.address)).await;
+        let stream = connected.unwrap_or(Err(Outcome::ConnectFailed))?;
         stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
         let written = Rc::new(Cell::new(0));
         let resting = Rc::new(Cell::new(false));
@@ -266,6 +268,28 @@
     }
 }
 
+/// Connects, and tries again for a moment where this machine lacks what a connection takes: that says nothing of the
+/// server, and would else use up all attempts of a request at once.
+async fn connect_through_shortage(address: SocketAddr) -> Result<TcpStream, Outcome> {
+    let end = Instant::now() + SHORTAGE_PATIENCE;
+    loop {
+        let error = match TcpStream::connect(address).await {
+            Ok(stream) => return Ok(stream),
+            Err(error) => error,
+        };
+        let of_server = matches!(error.raw_os_error(), Some(libc::ENETUNREACH));
+        let passes = of_server || is_shortage(&error) || error.kind() == io::ErrorKind::Interrupted;
+        if !passes {
+            return Err(Outcome::ConnectFailed);
+        }
+        if Instant::now() >= end {
+            tracing::warn!(%error, "no connection to a server can be made");
+            return Err(if of_server { Outcome::ConnectFailed } else { Outcome::Moot });
+        }
+        sleep(SHORTAGE_PAUSE).await;
+    }
+}
+
 /// Why there was no whole answer.
 enum Broken {
     /// The connection ended or broke.
@@ -447,7 +471,7 @@
     use super::*;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
-    use tokio::time::{advance, sleep};
+    use tokio::time::advance;
 
     const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
 
