Tests, failing: answers without a length, and the time told for requests that came ahead

An answer that ends with its connection is dropped although it came whole; a request sent ahead of the answer to the one before it is told its whole time, however long it waited its turn.

--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -171,3 +171,28 @@
     until("no descriptor is held for them", || node.descriptors() <= before);
     assert_eq!((app.seen(), node.ask(&whole).status()), (0, 200));
 }
+
+#[test]
+fn a_request_that_came_ahead_of_an_answer_is_told_the_time_that_its_client_has_left() {
+    const FIRST: Duration = Duration::from_millis(600);
+    const SLACK: f64 = 150.0;
+    const WAIT: f64 = 5_000.0;
+    let app = App::start(|request| match &*id_of(request) {
+        "r0" => Reply::Slow(FIRST),
+        id => Reply::ok(id),
+    });
+    let node = Node::with(&[target("a", app.address, "north", "SERVING")]);
+    let mut client = node.client();
+    client.write(request("read", "r0").as_bytes());
+    until("the first is out", || app.seen() == 1);
+    let all: String = (1..4).map(|n| request_with("order", &format!("r{n}"), "large", "5000m")).collect();
+    client.write(all.as_bytes());
+    for _ in 0..4 {
+        assert_eq!(client.read().expect("an answer").status(), 200);
+    }
+    for request in &app.requests.lock().expect("no panic")[1..] {
+        let told = request.header("req-deadline").and_then(|told| told.strip_suffix('u'));
+        let told: f64 = told.and_then(|told| told.parse().ok()).expect("microseconds");
+        assert!(told / 1000.0 <= WAIT - FIRST.as_secs_f64() * 1000.0 + SLACK, "{told} us");
+    }
+}
--- a/tests/spoilt.rs
+++ b/tests/spoilt.rs
@@ -113,3 +113,20 @@
         assert_eq!(node.ask(&request("read", &format!("r{number}"))).status(), 200);
     }
 }
+
+#[test]
+fn an_answer_without_a_length_that_comes_whole_is_passed_on() {
+    let app = App::start(|_| Reply::Bytes(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole"));
+    let node = Node::with(&[target("a", app.address, "north", "SERVING")]);
+    let answer = node.ask(&request("order", "r1"));
+    assert_eq!((answer.status(), &*answer.body), (200, &b"whole"[..]));
+}
+
+#[test]
+fn an_answer_without_a_length_that_is_reset_has_failed() {
+    let app = App::start(|_| Reply::Reset(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf"));
+    let node = Node::with(&[target("a", app.address, "north", "SERVING")]);
+    for number in 0..20 {
+        assert!(node.ask(&request("order", &format!("r{number}"))).status() != 200);
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -93,6 +93,8 @@
     Silence,
     /// Closes with no answer.
     Close,
+    /// Writes these bytes and resets the connection.
+    Reset(&'static [u8]),
     /// Answers 200 after this time.
     Slow(Duration),
 }
@@ -160,6 +162,12 @@
                     return;
                 }
                 Reply::Close => return,
+                Reply::Reset(bytes) => {
+                    let _ = stream.get_mut().write_all(bytes);
+                    let socket = socket2::SockRef::from(stream.get_ref());
+                    socket.set_linger(Some(Duration::ZERO)).expect("it can be set");
+                    return;
+                }
                 Reply::Slow(time) => {
                     std::thread::sleep(time);
                     ("200 OK", "", b"late".to_vec())
