Pass on whole answers without a length; count a client's time from when its request came

Server::read (server.rs) took the time at which a request's turn came for the time at which it came: one sent ahead waited in Inbound, and its server was told up to the whole time anew. Changes: the guard is gone, a reset still breaks the body; Inbound notes when what it reads ahead came.

--- a/src/bin/ivygate/inbound.rs
+++ b/src/bin/ivygate/inbound.rs
@@ -5,17 +5,22 @@
 use crate::stream::ResilientStream;
 use bytes::{Buf, BytesMut};
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// Most that is kept of what comes ahead of an answer: a request with the largest body. Clients ask for one
 /// thing at a time, so that there usually is nothing.
 const AHEAD_MOST: usize = 80 << 10;
+/// Pieces read ahead within this time count as come with the first, so that tiny ones take no memory.
+const TOGETHER: Duration = Duration::from_millis(10);
 /// Read at a time.
 const PIECE: usize = 4 << 10;
 
@@ -27,6 +32,10 @@
     stream: RefCell<ResilientStream>,
     /// Read ahead, and not yet by hyper.
     ahead: RefCell<BytesMut>,
+    /// When what was read ahead came: numbers of bytes, in order.
+    came: RefCell<VecDeque<(usize, Instant)>>,
+    /// When the last byte came that hyper has read.
+    arrived: Cell<Instant>,
     /// More came than is kept.
     overrun: Cell<bool>,
     /// Called when hyper has read something.
@@ -36,9 +45,14 @@
 impl Inbound {
     /// A stream that calls `on_read` whenever hyper has read something of it.
     pub fn new(stream: TcpStream, on_read: impl Fn() + 'static) -> Self {
-        let (ahead, overrun) = (RefCell::default(), Cell::default());
-        let stream = RefCell::new(ResilientStream::new(stream));
-        Self(Rc::new(Shared { stream, ahead, overrun, on_read: Box::new(on_read) }))
+        Self(Rc::new(Shared {
+            stream: RefCell::new(ResilientStream::new(stream)),
+            ahead: RefCell::default(),
+            came: RefCell::default(),
+            arrived: Cell::new(Instant::now()),
+            overrun: Cell::default(),
+            on_read: Box::new(on_read),
+        }))
     }
 
     /// Whether something has come that hyper has not read, be it the end.
@@ -57,6 +71,12 @@
         self.0.overrun.get()
     }
 
+    /// When the last byte came that hyper has read. A request sent ahead of the answer to the one before it came
+    /// long before its turn, and its client's time runs from then.
+    pub fn arrived(&self) -> Instant {
+        self.0.arrived.get()
+    }
+
     /// Reads ahead; ready once the client has ended its sending or the connection has broken.
     pub fn poll_end(&self, cx: &mut Context<'_>) -> Poll<()> {
         let mut stream = self.0.stream.borrow_mut();
@@ -75,6 +95,35 @@
             // What is too much is read all the same, and dropped: behind it may stand the end.
             if !self.0.overrun.get() {
                 ahead.extend_from_slice(buf.filled());
+                self.0.came(buf.filled().len());
+            }
+        }
+    }
+}
+
+impl Shared {
+    /// So many bytes have been read ahead.
+    fn came(&self, bytes: usize) {
+        let (mut came, now) = (self.came.borrow_mut(), Instant::now());
+        match came.back_mut() {
+            Some((length, at)) if now - *at < TOGETHER => *length += bytes,
+            _ => came.push_back((bytes, now)),
+        }
+    }
+
+    /// So many bytes of what was read ahead have been read by hyper.
+    fn taken(&self, mut bytes: usize) {
+        let mut came = self.came.borrow_mut();
+        while let Some((length, at)) = came.front_mut() {
+            self.arrived.set(*at);
+            if *length > bytes {
+                *length -= bytes;
+                return;
+            }
+            bytes -= *length;
+            came.pop_front();
+            if bytes == 0 {
+                return;
             }
         }
     }
@@ -88,12 +137,13 @@
             let taken = ahead.len().min(buf.remaining());
             buf.put_slice(&ahead[..taken]);
             ahead.advance(taken);
+            self.0.taken(taken);
         } else if self.0.overrun.get() {
             // Something is missing here: to hyper it is the end.
             return Poll::Ready(Ok(()));
         } else {
             match Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf) {
-                Poll::Ready(Ok(())) => {}
+                Poll::Ready(Ok(())) => self.0.arrived.set(Instant::now()),
                 other => return other,
             }
         }
--- a/src/bin/ivygate/server.rs
+++ b/src/bin/ivygate/server.rs
@@ -365,7 +365,7 @@
         let (mut response, stays) = if request.uri().path() == "/up" {
             (self.up(&request), true)
         } else {
-            match self.read(request, begun).await {
+            match self.read(request, begun, inbound.arrived()).await {
                 // The client may have left before this node looked: tokio may not have heard yet, and a
                 // connection to an app server that stands takes the request at once.
                 Ok(_) if inbound.ended() => (plain(StatusCode::BAD_REQUEST, "the client has left"), false),
@@ -426,9 +426,9 @@
         })
     }
 
-    /// Reads a whole request, the first byte of which came at `begun`.
-    async fn read(&self, request: Request<Incoming>, begun: Instant) -> Result<Ask, Unfit> {
-        let now = self.driver.now();
+    /// Reads a whole request, the first byte of which came at `begun` and the end of whose head at `arrived`.
+    async fn read(&self, request: Request<Incoming>, begun: Instant, arrived: Instant) -> Result<Ask, Unfit> {
+        let arrived_at = self.driver.now() - arrived.elapsed().as_secs_f64() * 1000.0;
         let (parts, body) = request.into_parts();
         // Guards against a second request hidden in a body. hyper drops `Content-Length` where there is a
         // `Transfer-Encoding`, so whether there were both cannot be told; clients send a length.
@@ -444,7 +444,7 @@
             if body.is_end_stream() { Bytes::new() } else { read_body(body, head.wait, begun).await? };
         let message =
             Message { method: parts.method, uri: parts.uri, headers: end_to_end(parts.headers), body };
-        Ok(Ask { deadline: now + head.wait, head, message })
+        Ok(Ask { deadline: arrived_at + head.wait, head, message })
     }
 }
 
--- a/src/bin/ivygate/upstream.rs
+++ b/src/bin/ivygate/upstream.rs
@@ -343,9 +343,7 @@
     let mut coding = parts.headers.get_all(TRANSFER_ENCODING).iter();
     let chunked = coding.next().map(|value| value.as_bytes().eq_ignore_ascii_case(b"chunked"));
     match chunked {
-        // Guards against an answer cut short that looks whole: without a length or chunks only the
-        // connection's end would mark the body's, and a server that dies ends it too.
-        None if !length && !body.is_end_stream() => return Err(Broken::Lost),
+        // Without a length the body goes on to the connection's end. A reset is none: it breaks the body.
         None => {}
         // Two ways to find the end of a body are two ends.
         Some(true) if !length && coding.next().is_none() => {}
