--- a/src/bin/ivygate/clock.rs
+++ b/src/bin/ivygate/clock.rs
@@ -28,3 +28,20 @@
         self.start + millis(at - self.start_ms)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+    use tokio::time::advance;
+
+    #[tokio::test(start_paused = true)]
+    async fn a_time_to_come_is_to_come_however_long_the_clock_has_run() {
+        const MONTH: Duration = Duration::from_secs(30 * 86_400);
+        let clock = Clock::new();
+        advance(MONTH).await;
+        let due = clock.instant(clock.now() + 500.0);
+        let wait = due.saturating_duration_since(Instant::now());
+        assert!((490..=510).contains(&wait.as_millis()), "{wait:?}");
+    }
+}
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -226,3 +226,17 @@
         assert_eq!(discovery.lists.load(Ordering::SeqCst), 0, "{mode}");
     }
 }
+
+#[test]
+fn a_list_that_comes_slowly_in_pieces_is_taken_all_the_same() {
+    for settings in [SETTINGS.to_owned(), SETTINGS.replace("automatic", "subscribe")] {
+        let (_apps, discovery, _) = two();
+        // Longer than a piece is usually waited for.
+        discovery.slow_down(Duration::from_millis(400));
+        let begun = Instant::now();
+        let node = Node::start(&config(discovery.address, "null", &settings, 1024));
+        assert_eq!(node.ask(&request("read", "r")).body, b"old");
+        // What discovery has counts as told after 6 s.
+        assert!(begun.elapsed() < Duration::from_secs(6), "{:?}", begun.elapsed());
+    }
+}
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::*;
 
 /// A list with one app server, and discovery that gives it.
@@ -91,3 +91,25 @@
     node.terminate();
     assert_eq!(node.exit_code(), Some(0));
 }
+
+#[test]
+fn signals_in_quick_succession_do_not_keep_a_slow_agent_from_being_heard() {
+    let apps = [App::start(|_| Reply::ok("old")), App::start(|_| Reply::ok("new"))];
+    let (first, known) = discovery(50, "a", &apps[0]);
+    let (second, _) = discovery(3, "b", &apps[1]);
+    second.slow_down(Duration::from_millis(220));
+    let node = Node::start(&config(first.address, &known, SETTINGS, 1024));
+    let whole = config(second.address, "null", SETTINGS, 1024);
+    let begun = Instant::now();
+    let mut signals = 0;
+    // Each of them names the same agent, and comes before it has answered the call made after the last.
+    until("the new server is used", || {
+        let new = node.ask(&request("read", "r")).body == b"new";
+        if !new && begun.elapsed() >= signals * Duration::from_millis(150) {
+            node.reload(&whole);
+            signals += 1;
+        }
+        new
+    });
+    assert!(signals > 2);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -282,6 +282,8 @@
     silent: Arc<AtomicBool>,
     /// The next list stops half way.
     stalls: Arc<AtomicBool>,
+    /// How long it takes to begin an answer, and to go on in the middle of an object.
+    pause: Arc<Mutex<Duration>>,
     /// What every call is answered with, before its connection is closed.
     raw: Arc<Mutex<Option<Vec<u8>>>>,
     /// Calls that came while it was silent; they are never answered.
@@ -301,6 +303,7 @@
             watches: Arc::default(),
             silent: Arc::default(),
             stalls: Arc::default(),
+            pause: Arc::default(),
             raw: Arc::default(),
             held: Arc::default(),
             lists: Arc::default(),
@@ -309,15 +312,38 @@
         let served = discovery.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                served.answer(stream);
+                if served.pause().is_zero() {
+                    served.answer(stream);
+                } else {
+                    let served = served.clone();
+                    std::thread::spawn(move || served.answer(stream));
+                }
             }
         });
         discovery
     }
 
+    fn pause(&self) -> Duration {
+        *self.pause.lock().expect("no panic")
+    }
+
+    /// Takes this long from now on to begin an answer, and to go on in the middle of an object.
+    pub fn slow_down(&self, pause: Duration) {
+        *self.pause.lock().expect("no panic") = pause;
+    }
+
+    /// Writes an object, in two halves if it is slow.
+    fn write_slowly(&self, stream: &mut TcpStream, object: &[u8]) {
+        let (first, second) = object.split_at(object.len() / 2);
+        let _ = stream.write_all(first);
+        std::thread::sleep(self.pause());
+        let _ = stream.write_all(second);
+    }
+
     fn answer(&self, stream: TcpStream) {
         let mut stream = BufReader::new(stream);
         let Some(request) = read_message(&mut stream) else { return };
+        std::thread::sleep(self.pause());
         if self.silent.load(Ordering::SeqCst) {
             self.held.lock().expect("no panic").push(stream.into_inner());
         } else if let Some(raw) = &*self.raw.lock().expect("no panic") {
@@ -331,8 +357,8 @@
             if request.start.contains("index=0 ") {
                 // Who holds nothing is told all first.
                 let list = self.list.lock().expect("no panic").clone();
-                let _ =
-                    stream.get_mut().write_all(format!("{:x}\r\n{list}\n\r\n", list.len() + 1).as_bytes());
+                let chunk = format!("{:x}\r\n{list}\n\r\n", list.len() + 1);
+                self.write_slowly(stream.get_mut(), chunk.as_bytes());
             }
             self.watches.lock().expect("no panic").push(stream.into_inner());
             self.watched.fetch_add(1, Ordering::SeqCst);
@@ -342,7 +368,7 @@
             let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
             let stalls = self.stalls.swap(false, Ordering::SeqCst);
             let end = if stalls { text.len() - list.len() / 2 } else { text.len() };
-            let _ = stream.get_mut().write_all(&text.as_bytes()[..end]);
+            self.write_slowly(stream.get_mut(), &text.as_bytes()[..end]);
             if stalls {
                 self.held.lock().expect("no panic").push(stream.into_inner());
             }
