--- a/src/bin/ivygate/clock.rs
+++ b/src/bin/ivygate/clock.rs
@@ -23,9 +23,10 @@
         self.start_ms + self.start.elapsed().as_secs_f64() * 1000.0
     }
 
-    /// The instant of a time; one that has passed before the start is the start.
+    /// The instant of a time, however long the clock has run; one that has passed already is now, and none is more
+    /// than a day off.
     pub fn instant(&self, at: Millis) -> Instant {
-        self.start + millis(at - self.start_ms)
+        Instant::now() + millis(at - self.now())
     }
 }
 
