Wait longer for a piece of a list each time one did not come

Cause: an object that paused for over 250 ms was taken to have lost its end (PIECE, discovery.rs), each time anew, so that a list from slow discovery was never read. Change: the wait doubles with each such answer, up to 1 s. The tests' stand-in answered slow calls one behind another by a lock that it held; it does so only where it is told to now.

--- a/src/bin/ivygate/discovery.rs
+++ b/src/bin/ivygate/discovery.rs
@@ -31,6 +31,9 @@
 /// An object is written in one piece, on one line or on several. One that stops half way for this long has
 /// lost its end, and what comes next would be read as the rest of it.
 const PIECE: Duration = Duration::from_millis(250);
+/// Discovery may be slow in writing one, so that each time this was in vain twice as long is waited, up to this. It
+/// leaves time for a list behind an object that has lost its end.
+const PIECE_MOST: Duration = Duration::from_secs(1);
 
 /// What went wrong with a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,7 +46,9 @@
     Refused,
     /// The answer ended within an object.
     Cut,
-    /// The answer stopped within an object, or is unreadable or too long: the list must be fetched anew.
+    /// The answer stopped within an object: it has lost its end, or comes slowly. The list must be fetched anew.
+    Stalled,
+    /// The answer is unreadable or too long: the list must be fetched anew.
     Unusable,
 }
 
@@ -57,6 +62,8 @@
 pub struct Discovery {
     driver: Rc<Driver>,
     backoff: Backoff,
+    /// How long the next piece of an object is waited for.
+    piece: Duration,
     /// Most entries that are believed in one list.
     most_targets: usize,
 }
@@ -64,7 +71,7 @@
 impl Discovery {
     /// One that has not called yet.
     pub fn new(driver: Rc<Driver>, backoff: Backoff, most_targets: usize) -> Self {
-        Self { driver, backoff, most_targets }
+        Self { driver, backoff, piece: PIECE, most_targets }
     }
 
     /// Runs for as long as the node does, and calls the agent that was named last. `known` is the version of
@@ -98,7 +105,10 @@
                         whole = false;
                     }
                     // A watch would bring the same list at once.
-                    Err(Trouble::Refused | Trouble::Cut | Trouble::Unusable) => {
+                    Err(
+                        trouble @ (Trouble::Refused | Trouble::Cut | Trouble::Stalled | Trouble::Unusable),
+                    ) => {
+                        self.note(trouble);
                         sleep(self.backoff.unusable()).await;
                     }
                     Err(Trouble::Lost | Trouble::Silent) => {}
@@ -107,7 +117,8 @@
             // A watch brings the list too where fetching it failed, so it is tried all the same.
             let mut news = 0;
             let Err(trouble) = self.watch(agent, &mut rev, &mut news).await;
-            whole |= trouble == Trouble::Unusable;
+            self.note(trouble);
+            whole |= matches!(trouble, Trouble::Stalled | Trouble::Unusable);
             // Only a watch that has brought more than its first news counts as a success: discovery that
             // accepts and hangs up, as it does when its line is too long, or answers nonsense, is not called
             // in a tight loop.
@@ -117,13 +128,23 @@
             }
             let wait = match trouble {
                 Trouble::Silent if stood => self.backoff.soon(),
-                Trouble::Refused | Trouble::Cut | Trouble::Unusable => self.backoff.unusable(),
+                Trouble::Refused | Trouble::Cut | Trouble::Stalled | Trouble::Unusable => {
+                    self.backoff.unusable()
+                }
                 Trouble::Lost | Trouble::Silent => self.backoff.failed(),
             };
             sleep(wait).await;
         }
     }
 
+    /// Learns from what went wrong how long a piece may take.
+    fn note(&mut self, trouble: Trouble) {
+        tracing::debug!(?trouble, "a call to discovery has ended");
+        if trouble == Trouble::Stalled {
+            self.piece = (self.piece * 2).min(PIECE_MOST);
+        }
+    }
+
     /// Fetches the whole list and gives its version.
     async fn list(&self, agent: SocketAddr) -> Result<u64, Trouble> {
         let end = Instant::now() + ANSWER;
@@ -132,9 +153,13 @@
         let mut reader = ListingReader::new(self.most_targets);
         let mut listed = None;
         while listed.is_none() {
-            let silent = if reader.begun() { PIECE } else { ANSWER_FREE };
+            let begun = reader.begun();
+            let silent = if begun { self.piece } else { ANSWER_FREE };
             let longest = end.min(Instant::now() + silent);
-            let data = call.read(longest).await.map_err(|_| Trouble::Unusable)?;
+            let data = call.read(longest).await.map_err(|end| match end {
+                ReadError::Silent if begun => Trouble::Stalled,
+                ReadError::Silent | ReadError::Ended => Trouble::Unusable,
+            })?;
             reader.push(&data, |listing| listed = Some(self.tell(listing)))?;
         }
         listed.ok_or(Trouble::Unusable)
@@ -154,9 +179,10 @@
         let mut whole_by = Instant::now();
         loop {
             let begun = reader.begun();
-            let longest = if begun { whole_by.min(Instant::now() + PIECE) } else { Instant::now() + SILENCE };
+            let longest =
+                if begun { whole_by.min(Instant::now() + self.piece) } else { Instant::now() + SILENCE };
             let data = call.read(longest).await.map_err(|end| match end {
-                ReadError::Silent if begun => Trouble::Unusable,
+                ReadError::Silent if begun => Trouble::Stalled,
                 ReadError::Silent => Trouble::Silent,
                 ReadError::Ended if begun => Trouble::Cut,
                 ReadError::Ended => Trouble::Lost,
@@ -175,6 +201,7 @@
     /// Hands a listing on and gives its version.
     fn tell(&self, listing: Listing) -> u64 {
         let rev = listing.rev;
+        tracing::debug!(rev, all = listing.all, targets = listing.targets.len(), "told by discovery");
         self.driver.list(listing);
         self.driver.heard();
         rev
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -284,6 +284,9 @@
     stalls: Arc<AtomicBool>,
     /// How long it takes to begin an answer, and to go on in the middle of an object.
     pause: Arc<Mutex<Duration>>,
+    /// Whether calls wait for each other.
+    one_by_one: Arc<AtomicBool>,
+    turn: Arc<Mutex<()>>,
     /// What every call is answered with, before its connection is closed.
     raw: Arc<Mutex<Option<Vec<u8>>>>,
     /// Calls that came while it was silent; they are never answered.
@@ -304,6 +307,8 @@
             silent: Arc::default(),
             stalls: Arc::default(),
             pause: Arc::default(),
+            one_by_one: Arc::default(),
+            turn: Arc::default(),
             raw: Arc::default(),
             held: Arc::default(),
             lists: Arc::default(),
@@ -332,6 +337,12 @@
         *self.pause.lock().expect("no panic") = pause;
     }
 
+    /// Answers calls one behind another from now on, each of which takes this long.
+    pub fn crowd(&self, pause: Duration) {
+        self.one_by_one.store(true, Ordering::SeqCst);
+        self.slow_down(pause);
+    }
+
     /// Writes an object, in two halves if it is slow.
     fn write_slowly(&self, stream: &mut TcpStream, object: &[u8]) {
         let (first, second) = object.split_at(object.len() / 2);
@@ -343,11 +354,15 @@
     fn answer(&self, stream: TcpStream) {
         let mut stream = BufReader::new(stream);
         let Some(request) = read_message(&mut stream) else { return };
+        // Where it is crowded, one call is answered behind another.
+        let turn = self.one_by_one.load(Ordering::SeqCst).then(|| self.turn.lock().expect("no panic"));
         std::thread::sleep(self.pause());
+        drop(turn);
+        let raw = self.raw.lock().expect("no panic").clone();
         if self.silent.load(Ordering::SeqCst) {
             self.held.lock().expect("no panic").push(stream.into_inner());
-        } else if let Some(raw) = &*self.raw.lock().expect("no panic") {
-            let _ = stream.get_mut().write_all(raw);
+        } else if let Some(raw) = raw {
+            let _ = stream.get_mut().write_all(&raw);
             let calls = if request.start.contains("stream=1") { &self.watched } else { &self.lists };
             calls.fetch_add(1, Ordering::SeqCst);
         } else if request.start.contains("stream=1") {
