Test, failing: calls given up do not crowd out a slow agent

An agent that answers one call in 450 ms is called every 150 ms and each call is ended after 600 ms: it works on calls given up only, and the node is never ready.

--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -240,3 +240,12 @@
         assert!(begun.elapsed() < Duration::from_secs(6), "{:?}", begun.elapsed());
     }
 }
+
+#[test]
+fn an_agent_that_answers_one_call_behind_another_is_not_kept_busy_with_calls_given_up() {
+    let (_apps, discovery, _) = two();
+    // Calls are made more often than this, and most are given up before their turn.
+    discovery.crowd(Duration::from_millis(450));
+    let node = Node::start(&config(discovery.address, "null", SETTINGS, 1024));
+    assert_eq!(node.ask(&request("read", "r")).body, b"old");
+}
