Call an agent that answers slowly less often

Cause: where calls are free one was made every 150 ms and ended after 600 ms whatever the agent did (discovery.rs, call): one that answers calls in turn, each in over 450 ms, only ever worked on calls given up. Change: what the last answer took to begin sets spacing and patience; an agent that answers at once or not at all is called as before.

--- a/src/bin/ivygate/discovery.rs
+++ b/src/bin/ivygate/discovery.rs
@@ -8,6 +8,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use ivygate::{Backoff, Listing, ListingReader, Unreadable, ANSWER, SOON_MOST, TOLD};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,6 +24,10 @@
 const ANSWER_FREE: Duration = Duration::from_millis(600);
 /// ... and another is made beside it after this time, well within the grace for a drain.
 const AGAIN_FREE: Duration = Duration::from_millis(150);
+/// An agent that was seen to take longer to answer has several times that time: else it would be kept busy with calls
+/// that were given up. Whoever answers at once, or not at all, is called as often as before.
+const AGAIN_FACTOR: u32 = 2;
+const ANSWER_FACTOR: u32 = 4;
 /// A watch has an empty line every 2 s; one that is silent for half as long again is dead without having said
 /// so. What a silent watch misses counts as told after 6 s: the rest is for opening the next one.
 const SILENCE: Duration = Duration::from_secs(3);
@@ -64,6 +69,8 @@
     backoff: Backoff,
     /// How long the next piece of an object is waited for.
     piece: Duration,
+    /// How long the last answer took to begin.
+    answered_in: Cell<Duration>,
     /// Most entries that are believed in one list.
     most_targets: usize,
 }
@@ -71,7 +78,7 @@
 impl Discovery {
     /// One that has not called yet.
     pub fn new(driver: Rc<Driver>, backoff: Backoff, most_targets: usize) -> Self {
-        Self { driver, backoff, piece: PIECE, most_targets }
+        Self { driver, backoff, piece: PIECE, answered_in: Cell::default(), most_targets }
     }
 
     /// Runs for as long as the node does, and calls the agent that was named last. `known` is the version of
@@ -148,7 +155,7 @@
     /// Fetches the whole list and gives its version.
     async fn list(&self, agent: SocketAddr) -> Result<u64, Trouble> {
         let end = Instant::now() + ANSWER;
-        let call = call(agent, "/discovery/hosts".to_owned(), self.backoff.free());
+        let call = self.call(agent, "/discovery/hosts".to_owned());
         let mut call = timeout_at(end, call).await.map_err(|_| Trouble::Lost)??;
         let mut reader = ListingReader::new(self.most_targets);
         let mut listed = None;
@@ -173,7 +180,7 @@
         news: &mut u32,
     ) -> Result<Infallible, Trouble> {
         let path = format!("/discovery/hosts?stream=1&index={}", rev.unwrap_or(0));
-        let mut call = call(agent, path, self.backoff.free()).await?;
+        let mut call = self.call(agent, path).await?;
         let mut reader = ListingReader::new(self.most_targets);
         // When the object that has begun must be whole.
         let mut whole_by = Instant::now();
@@ -198,6 +205,34 @@
         }
     }
 
+    /// Calls until there is an answer or all that was tried has failed.
+    async fn call(&self, agent: SocketAddr, path: String) -> Result<Call, Trouble> {
+        if !self.backoff.free() {
+            return call_once(agent, path, ANSWER).await;
+        }
+        let answer = (self.answered_in.get() * ANSWER_FACTOR).clamp(ANSWER_FREE, ANSWER);
+        let spacing = (self.answered_in.get() * AGAIN_FACTOR).clamp(AGAIN_FREE, answer);
+        let mut calls = JoinSet::new();
+        let mut again = interval(spacing);
+        again.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = again.tick() => {
+                    calls.spawn_local(call_once(agent, path.clone(), answer));
+                }
+                Some(ended) = calls.join_next() => match ended {
+                    Ok(Ok(call)) => {
+                        self.answered_in.set(call.answered_in);
+                        return Ok(call);
+                    }
+                    Ok(Err(trouble)) if calls.is_empty() => return Err(trouble),
+                    Err(_) if calls.is_empty() => return Err(Trouble::Lost),
+                    _ => {}
+                }
+            }
+        }
+    }
+
     /// Hands a listing on and gives its version.
     fn tell(&self, listing: Listing) -> u64 {
         let rev = listing.rev;
@@ -220,6 +255,8 @@
 /// An answer that has begun.
 struct Call {
     body: Incoming,
+    /// How long it took to begin.
+    answered_in: Duration,
     _connection: Connection,
 }
 
@@ -244,35 +281,13 @@
     }
 }
 
-/// Calls until there is an answer or all that was tried has failed.
-async fn call(agent: SocketAddr, path: String, free: bool) -> Result<Call, Trouble> {
-    if !free {
-        return call_once(agent, path, ANSWER).await;
-    }
-    let mut calls = JoinSet::new();
-    let mut again = interval(AGAIN_FREE);
-    again.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        tokio::select! {
-            _ = again.tick() => {
-                calls.spawn_local(call_once(agent, path.clone(), ANSWER_FREE));
-            }
-            Some(ended) = calls.join_next() => match ended {
-                Ok(Ok(call)) => return Ok(call),
-                Ok(Err(trouble)) if calls.is_empty() => return Err(trouble),
-                Err(_) if calls.is_empty() => return Err(Trouble::Lost),
-                _ => {}
-            }
-        }
-    }
-}
-
 /// One call, which has `longest` for its connection and its answer's head together.
 async fn call_once(agent: SocketAddr, path: String, longest: Duration) -> Result<Call, Trouble> {
     timeout(longest, begin(agent, path)).await.unwrap_or(Err(Trouble::Lost))
 }
 
 async fn begin(agent: SocketAddr, path: String) -> Result<Call, Trouble> {
+    let begun = Instant::now();
     let stream = TcpStream::connect(agent).await.map_err(|_| Trouble::Lost)?;
     stream.set_nodelay(true).map_err(|_| Trouble::Lost)?;
     let handshake = hyper::client::conn::http1::handshake(TokioIo::new(ResilientStream::new(stream)));
@@ -284,5 +299,5 @@
     if answer.status() != StatusCode::OK {
         return Err(Trouble::Refused);
     }
-    Ok(Call { body: answer.into_body(), _connection: connection })
+    Ok(Call { body: answer.into_body(), answered_in: begun.elapsed(), _connection: connection })
 }
