Let a call to the agent that is named again go on

Cause: each SIGHUP dropped the call under way and began anew (Discovery::follow, discovery.rs), also where it named the same agent, so that signals closer together than that agent's answers kept it from being heard. Change: until the agent named last has told something, its being named again changes nothing.

--- a/src/bin/ivygate/discovery.rs
+++ b/src/bin/ivygate/discovery.rs
@@ -71,6 +71,8 @@
     piece: Duration,
     /// How long the last answer took to begin.
     answered_in: Cell<Duration>,
+    /// The agent that was named last has told something.
+    heard: Rc<Cell<bool>>,
     /// Most entries that are believed in one list.
     most_targets: usize,
 }
@@ -78,7 +80,14 @@
 impl Discovery {
     /// One that has not called yet.
     pub fn new(driver: Rc<Driver>, backoff: Backoff, most_targets: usize) -> Self {
-        Self { driver, backoff, piece: PIECE, answered_in: Cell::default(), most_targets }
+        Self {
+            driver,
+            backoff,
+            piece: PIECE,
+            answered_in: Cell::default(),
+            heard: Rc::default(),
+            most_targets,
+        }
     }
 
     /// Runs for as long as the node does, and calls the agent that was named last. `known` is the version of
@@ -87,9 +96,11 @@
         let mut rev = known;
         loop {
             let agent = *agents.borrow_and_update();
+            self.heard.set(false);
+            let heard = self.heard.clone();
             tokio::select! {
                 () = self.follow_one(agent, rev) => {}
-                changed = agents.changed() => if changed.is_err() {
+                moved = named_anew(&mut agents, agent, &heard) => if moved.is_err() {
                     // None will be named any more, so the last one is followed to the end.
                     self.follow_one(agent, None).await;
                 }
@@ -239,10 +250,26 @@
         tracing::debug!(rev, all = listing.all, targets = listing.targets.len(), "told by discovery");
         self.driver.list(listing);
         self.driver.heard();
+        self.heard.set(true);
         rev
     }
 }
 
+/// Ready once an agent is named that must be called anew. The one that is being called already need not: signals in
+/// quick succession would keep each call from being answered.
+async fn named_anew(
+    agents: &mut watch::Receiver<SocketAddr>,
+    present: SocketAddr,
+    heard: &Cell<bool>,
+) -> Result<(), watch::error::RecvError> {
+    loop {
+        agents.changed().await?;
+        if *agents.borrow_and_update() != present || heard.get() {
+            return Ok(());
+        }
+    }
+}
+
 /// A connection of its own for each call; it ends with this.
 struct Connection(AbortHandle);
 
