Test, failing: a wall clock that steps does not push a cold server over

A node whose wall clock is an hour ahead sends all of 60 requests at once to a server that has just started; one whose clock is an hour behind never uses it.

--- a/tests/growth.rs
+++ b/tests/growth.rs
@@ -2,7 +2,8 @@
 
 mod support;
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use ivygate_faults::Faults;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use support::*;
 
 /// A request of a customer of its own.
@@ -76,12 +77,59 @@
         }
         app.seen()
     };
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock that is right").as_millis();
+    let now = unix_ms();
     // It can do a fifth of its work at first, and a request is taken to need 0.8 s until one was answered.
     assert_eq!(seen(0), 60);
     assert!(seen(now) <= 10);
 }
 
+/// Milliseconds of Unix time.
+fn unix_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock that is right").as_millis()
+}
+
+/// Wall clocks that are wrong by so many milliseconds.
+const STEPS: [i64; 6] = [3_600_000, -3_600_000, 20_000, -20_000, 3_000, -3_000];
+
+/// How many of 60 requests go to a server that has just started, and whether it is used at all before it must be
+/// warm, at a node whose wall clock steps before or after its own start.
+fn sent_to_cold(step: i64, before: bool) -> (usize, bool) {
+    let app = App::start(|_| Reply::ok("x"));
+    let faults = Faults::new().expect("a control file");
+    if before {
+        faults.step_wall_clock(step).expect("it is set");
+    }
+    let discovery = Discovery::start(listing(1, true, &[]));
+    let node =
+        Node::spawn_with(&config(discovery.address, "null", SETTINGS, 1024), |command| faults.apply(command));
+    until("discovery is watched", || discovery.watched.load(std::sync::atomic::Ordering::SeqCst) > 0);
+    faults.step_wall_clock(step).expect("it is set");
+    let entry = target("a", app.address, "north", "SERVING");
+    let entry = entry.replace("\"boot_ms\":0", &format!("\"boot_ms\":{}", unix_ms()));
+    discovery.push(&listing(2, false, &[entry]));
+    until("the node is up", || node.up() == Some(200));
+    for number in 0..60 {
+        node.ask(&of_customer(number));
+    }
+    let at_first = app.seen();
+    let begun = Instant::now();
+    while app.seen() == 0 && begun.elapsed() < Duration::from_secs(9) {
+        node.ask(&of_customer(100));
+    }
+    (at_first, app.seen() > 0)
+}
+
+#[test]
+fn a_server_that_has_just_started_is_not_pushed_over_by_a_node_whose_wall_clock_steps() {
+    for before in [true, false] {
+        for step in STEPS {
+            let (sent, used) = sent_to_cold(step, before);
+            assert!(sent <= 10, "{sent} sent at once, clock ahead by {step} ms, before the start: {before}");
+            assert!(used, "never used, clock ahead by {step} ms, before the start: {before}");
+        }
+    }
+}
+
 #[test]
 fn a_ceiling_is_kept() {
     let (rate, depth) = (2.0, 4.0);
