Judge a cold server's age by the time since it was told, not by the wall clock

Cause: Gateway::warmth and cold_turn (servers.rs) took now - started for a server's age, the first on a clock anchored at the process's start, the second off the wall clock of whoever wrote it. A step between the two made a server that had just started warm (60 requests at once where 10 are allowed) or, an hour behind, never used.

--- a/src/bin/ivygate/main.rs
+++ b/src/bin/ivygate/main.rs
@@ -21,7 +21,7 @@
 use config::Config;
 use discovery::Discovery;
 use driver::Driver;
-use ivygate::{Backoff, Gateway, Settings};
+use ivygate::{Backoff, Gateway, Millis, Settings};
 use listen::listen;
 use reload::{load_through_trouble, reload_on};
 use request::Reader;
@@ -45,6 +45,9 @@
 /// it.
 const KEPT_PART: (usize, usize) = (3, 4);
 
+/// The wall clock may have stepped by an hour, either way, since a server told when it started. In milliseconds.
+const CLOCK_ERROR: Millis = 3_700_000.0;
+
 /// How many descriptors attempts may use.
 fn upstream_sockets(sockets: usize) -> usize {
     (sockets - reserve(sockets)) * UPSTREAM_PART.0 / UPSTREAM_PART.1
@@ -67,6 +70,7 @@
     let settings = Settings {
         connection_rest: upstream::REST.as_secs_f64() * 1000.0,
         most_connections: u32::try_from(kept).ok(),
+        clock_error: CLOCK_ERROR,
         ..config.settings.clone()
     };
     let gateway = Gateway::new(settings, config.seed).map_err(|e| format!("settings: {e}"))?;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -52,6 +52,9 @@
     pub connection_rest: Millis,
     /// Most connections to servers that are kept at once; `None` for no such limit.
     pub most_connections: Option<u32>,
+    /// The times at which servers say that they started may be wrong by this much, either way: they are read off a
+    /// wall clock, which may step.
+    pub clock_error: Millis,
     /// A just started server has at least this share of its capacity.
     pub cold_from: f64,
     /// And all of it after this time at the latest.
@@ -83,6 +86,7 @@
             keepalive: None,
             connection_rest: 0.0,
             most_connections: None,
+            clock_error: 0.0,
             cold_from: 0.0,
             warm_after: 0.0,
             fall_multiple: 0.0,
--- a/src/rules/servers.rs
+++ b/src/rules/servers.rs
@@ -68,9 +68,17 @@
         }
     }
 
+    /// How long ago a server started, at the least: since this gateway was told of it, and for as long before as its
+    /// clock may be believed.
+    fn least_age(&self, server: &Server) -> Millis {
+        let Some(started) = server.started else { return f64::INFINITY };
+        let age_when_told = (server.told_at - started - self.settings.clock_error).max(0.0);
+        age_when_told + self.now - server.told_at
+    }
+
     /// Present part of a server's capacity, at the least.
     pub(super) fn warmth(&self, server: &Server) -> f64 {
-        let age = server.started.map_or(f64::INFINITY, |t| (self.now - t).max(0.0));
+        let age = self.least_age(server);
         if age >= self.settings.warm_after {
             return 1.0;
         }
@@ -79,7 +87,8 @@
     }
 
     /// The turn that is on at a cold server, and how many requests of this work this gateway may send in it:
-    /// none in one that began before it did, since an earlier life may have sent some.
+    /// none in one that began before it did, since an earlier life may have sent some. Turns are counted from the
+    /// start that the server tells, be it right or not, so that all gateways have them in step.
     pub(super) fn cold_turn(&self, id: ServerId, server: &Server, work: Millis) -> (u64, u32) {
         let started = server.started.unwrap_or(self.now);
         let (turn, begun) = cold::turn(&self.settings, self.now - started);
--- a/src/state.rs
+++ b/src/state.rs
@@ -52,6 +52,8 @@
     pub cell: u32,
     pub state: ServerState,
     pub started: Option<Millis>,
+    /// When this gateway was first told of it, since its last start.
+    pub told_at: Millis,
     /// Own attempts out: request, number and time of each send.
     pub out: VecDeque<(RequestId, u32, Millis)>,
     /// Connections to it that own attempts have opened and that are taken still to stand.
@@ -86,6 +88,7 @@
             cell: member.cell,
             state: member.state,
             started: member.started,
+            told_at: now,
             reported_at: f64::NEG_INFINITY,
             pace: 1.0,
             answered_at: now,
