--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -14,6 +14,8 @@
     pub fleet: FleetSizes,
     /// For `nodes`.
     pub nodes: NodesSizes,
+    /// For `soak`.
+    pub soak: SoakSizes,
 }
 
 /// Sizes at which `slope` measures, one axis at a time.
@@ -124,6 +126,46 @@
     }
 }
 
+/// Sizes of the soak under faults.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct SoakSizes {
+    /// Processes that run side by side.
+    pub nodes: usize,
+    /// Booking servers.
+    pub servers: usize,
+    /// Usual clients, each of which asks one thing at a time.
+    pub clients: u32,
+    /// Mean pause of such a client between two requests, in milliseconds.
+    pub pause_ms: u64,
+    /// Bad clients.
+    pub bad_clients: u32,
+    /// Troubles that are on at once.
+    pub at_once: usize,
+    /// Length of a run, in seconds.
+    pub seconds: u64,
+    /// Runs, with consecutive seeds.
+    pub runs: u64,
+    /// The program; by default the release build beside this one.
+    pub program: PathBuf,
+}
+
+impl Default for SoakSizes {
+    fn default() -> Self {
+        Self {
+            nodes: 12,
+            servers: 12,
+            clients: 120,
+            pause_ms: 250,
+            bad_clients: 6,
+            at_once: 4,
+            seconds: 20,
+            runs: 1,
+            program: PathBuf::from("target/release/ivygate"),
+        }
+    }
+}
+
 /// Why an experiment file cannot be used.
 #[derive(Debug)]
 pub enum ExperimentError {
@@ -182,6 +224,9 @@
         let nodes = &mut self.nodes;
         (nodes.processes, nodes.servers) = (nodes.processes.min(3), nodes.servers.min(5_000));
         (nodes.requests, nodes.seconds) = (nodes.requests.min(200), nodes.seconds.min(2));
+        let soak = &mut self.soak;
+        (soak.nodes, soak.clients) = (soak.nodes.min(10), soak.clients.min(60));
+        (soak.seconds, soak.runs) = (soak.seconds.min(8), soak.runs.min(1));
     }
 
     fn check(&self) -> Result<(), ExperimentError> {
@@ -201,6 +246,10 @@
         if [nodes.processes, nodes.servers, nodes.few_servers, nodes.requests].contains(&0) {
             return Err(ExperimentError::Size("nodes: a size is 0"));
         }
+        let soak = &self.soak;
+        if soak.nodes == 0 || soak.servers == 0 || soak.runs == 0 || soak.at_once == 0 {
+            return Err(ExperimentError::Size("soak: a size is 0"));
+        }
         Ok(())
     }
 }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,6 +8,7 @@
 mod nodes;
 mod report;
 mod slope;
+mod soak;
 
 use clap::{Parser, Subcommand};
 use experiment::Experiment;
@@ -52,6 +53,8 @@
     Fleet,
     /// Real processes on loopback before stand-ins of discovery and servers.
     Nodes,
+    /// Real processes on loopback under overlapping faults, judged by the rules.
+    Soak,
 }
 
 impl Command {
@@ -60,6 +63,7 @@
             Command::Slope => "slope",
             Command::Fleet => "fleet",
             Command::Nodes => "nodes",
+            Command::Soak => "soak",
         }
     }
 }
@@ -102,8 +106,18 @@
         Command::Slope => slope::run(&experiment.slope, arguments.seed, &mut report)?,
         Command::Fleet => fleet::run(&experiment.fleet, arguments.seed, &mut report)?,
         Command::Nodes => nodes::run(&experiment.nodes, arguments.seed, &mut report)?,
+        Command::Soak => {
+            let played = soak::run(&experiment.soak, arguments.seed, &arguments.out, &mut report);
+            // What was found is written also where a rule was broken.
+            write(&report, &arguments.out)?;
+            return Ok(played?);
+        }
     }
-    let path = report.write(&arguments.out)?;
+    write(&report, &arguments.out)
+}
+
+fn write(report: &Report, out: &std::path::Path) -> Result<(), Box<dyn std::error::Error>> {
+    let path = report.write(out)?;
     tracing::info!("written to {}", path.display());
     Ok(())
 }
