--- a/lab/src/soak/client.rs
+++ b/lab/src/soak/client.rs
@@ -194,7 +194,7 @@
         self.oracle.sent(&plan.id);
         let leaves = rng.random_ratio(if self.habits.leaving.load(Ordering::Relaxed) { 50 } else { 6 }, 100);
         let patience = if leaves {
-            plan.class.wait.mul_f64(0.4 * rng.random::<f64>())
+            LEAVES_WITHIN.mul_f64(rng.random::<f64>().powi(3))
         } else {
             plan.class.wait + BEYOND
         };
