Decide in one module what may be sent, repeated and refused; count and log why

Attempts not begun, refusals by reason, outcomes, answers, closes, calls to discovery, failed accepts and broken promises are counted (RELAY_METRICS serves them in the text form of Prometheus) and logged with ids (RELAY_LOG=debug).

--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -72,6 +72,10 @@
     let rules = Rules::new();
     let oracle = Arc::new(Oracle::new(rules));
     let folder = out.join(format!("soak-{seed}"));
+    // Logs are added to over all lives of a process, and an earlier run's are not its own.
+    if folder.exists() {
+        std::fs::remove_dir_all(&folder)?;
+    }
     std::fs::create_dir_all(&folder)?;
     let allowed = Allowed { cancelling: rng.random(), list_on_request: rng.random_ratio(1, 3) };
     let fleet = Arc::new(Fleet { program: sizes.program.clone(), folder, nodes: sizes.nodes, seed, allowed });
@@ -99,6 +103,9 @@
         endings.spawn(async move { node.finish().await });
     }
     while endings.join_next().await.is_some() {}
+    for node in &world.crowd.nodes {
+        node.read_log()?;
+    }
     Ok(oracle)
 }
 
--- a/lab/src/soak/node.rs
+++ b/lab/src/soak/node.rs
@@ -124,6 +124,21 @@
         self.fleet.folder.join(format!("node-{}.json", self.rank))
     }
 
+    fn log_path(&self) -> PathBuf {
+        self.fleet.folder.join(format!("node-{}.log", self.rank))
+    }
+
+    /// Looks through its log for promises that it has seen itself break, and for panics.
+    pub fn read_log(&self) -> io::Result<()> {
+        let log = std::fs::read(self.log_path())?;
+        for line in String::from_utf8_lossy(&log).lines() {
+            if line.contains("promise broken") || line.contains("panicked at") {
+                self.oracle.violation(Rule::Promise, format!("node {}: {line}", self.rank));
+            }
+        }
+        Ok(())
+    }
+
     fn write_configuration(&self) -> io::Result<()> {
         let Fleet { nodes, seed, allowed, .. } = *self.fleet;
         let seed = seed ^ (self.life() << 16) ^ self.rank as u64;
@@ -142,8 +157,7 @@
         self.oracle.forget_told(self.rank);
         self.agent().named();
         self.write_configuration()?;
-        let log = self.fleet.folder.join(format!("node-{}.log", self.rank));
-        let log: File = OpenOptions::new().create(true).append(true).open(log)?;
+        let log: File = OpenOptions::new().create(true).append(true).open(self.log_path())?;
         let mut command = Command::new(&self.fleet.program);
         command
             .env("RELAY_CONFIG", self.config_path())
--- a/lab/src/soak/oracle.rs
+++ b/lab/src/soak/oracle.rs
@@ -54,6 +54,8 @@
     Ready,
     /// A node at rest uses little processor time.
     Processor,
+    /// A node counts no broken promise of its own.
+    Promise,
 }
 
 /// A rule that was broken, and how.
--- a/src/bin/ivygate-adapter/wire.rs
+++ b/src/bin/ivygate-adapter/wire.rs
@@ -248,7 +248,7 @@
                 "hand_off node={node} requestId={request} server={server} cutAtMs={give_up_at:.3}"
             )
         }
-        Action::Refuse { request, retry_after } => {
+        Action::Refuse { request, retry_after, .. } => {
             writeln!(output, "decline node={node} requestId={request} stayAwayMs={retry_after:.3}")
         }
         Action::Fail { request } => writeln!(output, "drop_request node={node} requestId={request}"),
--- a/src/bin/ivygate/accept.rs
+++ b/src/bin/ivygate/accept.rs
@@ -1,5 +1,6 @@
 //! What to do where a connection could not be accepted.
 
+use crate::metrics::METRICS;
 use crate::shortage::is_shortage;
 use std::io;
 use std::time::Duration;
@@ -31,6 +32,7 @@
     /// asked for at once.
     pub async fn wait(&mut self, error: &io::Error) {
         self.in_a_row += 1;
+        METRICS.accept_failed(if is_shortage(error) { "shortage" } else { "connection" });
         if is_shortage(error) {
             tracing::warn!(%error, "no connection can be accepted");
             sleep(SHORTAGE_PAUSE).await;
--- a/src/bin/ivygate/discovery.rs
+++ b/src/bin/ivygate/discovery.rs
@@ -1,6 +1,7 @@
 //! The list of app servers: starts from what is known, lists, watches, and comes back after failures.
 
 use crate::driver::Driver;
+use crate::metrics::METRICS;
 use crate::stream::ResilientStream;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
@@ -57,6 +58,19 @@
     Unusable,
 }
 
+impl Trouble {
+    fn name(self) -> &'static str {
+        match self {
+            Trouble::Lost => "lost",
+            Trouble::Silent => "silent",
+            Trouble::Refused => "refused",
+            Trouble::Cut => "cut",
+            Trouble::Stalled => "stalled",
+            Trouble::Unusable => "unusable",
+        }
+    }
+}
+
 impl From<Unreadable> for Trouble {
     fn from(_: Unreadable) -> Self {
         Trouble::Unusable
@@ -157,7 +171,8 @@
 
     /// Learns from what went wrong how long a piece may take.
     fn note(&mut self, trouble: Trouble) {
-        tracing::debug!(?trouble, "a call to discovery has ended");
+        METRICS.discovery(trouble.name());
+        tracing::debug!(trouble = trouble.name(), "a call to discovery has ended");
         if trouble == Trouble::Stalled {
             self.piece = (self.piece * 2).min(PIECE_MOST);
         }
@@ -247,6 +262,7 @@
     /// Hands a listing on and gives its version.
     fn tell(&self, listing: Listing) -> u64 {
         let rev = listing.rev;
+        METRICS.discovery("told");
         tracing::debug!(rev, all = listing.all, targets = listing.targets.len(), "told by discovery");
         self.driver.list(listing);
         self.driver.heard();
--- a/src/bin/ivygate/driver.rs
+++ b/src/bin/ivygate/driver.rs
@@ -4,15 +4,17 @@
 //! All runs on one thread. What an action leads to is queued and handled in order, never from within.
 
 use crate::clock::Clock;
+use crate::metrics::{Violation, METRICS};
 use crate::request::Head;
 use crate::upstream::{End, Place, Progress, Upstream};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Request, Uri};
+use ivygate::permit::{self, AttemptState, Beginning, Denied, FirstRun};
 use ivygate::{
-    Action, Arrival, Done, Event, Gateway, ListKind, Listing, Member, Millis, Outcome, RequestId, ServerId,
-    ServerState, TargetState,
+    Action, Arrival, Class, Done, Effect, Event, Gateway, ListKind, Listing, Member, Millis, Outcome,
+    RequestId, ServerId, ServerState, TargetState,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
@@ -32,6 +34,8 @@
 /// its list may be old, and what the agent holds counts as told at once. The agent answers at once, and while
 /// discovery is down there is nothing to be told.
 const HEAR: Millis = 300.0;
+/// The last guard is late from here on, in microseconds: a process that is held up is so by less.
+const LATE_ANSWER: u64 = 300_000;
 /// Period in which idle connections are looked through, in milliseconds.
 const SWEEP: Millis = 500.0;
 /// A header whose value this node alone sets.
@@ -86,11 +90,23 @@
     TimeUp,
 }
 
+impl Answer {
+    /// A word for it, for logs and counters.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Answer::Served(..) => "served",
+            Answer::Refused(_) => "refused",
+            Answer::Failed => "failed",
+            Answer::TimeUp => "time_up",
+        }
+    }
+}
+
 /// A request that has arrived, until its answer is given and all its attempts have ended.
 struct Open {
     message: Rc<Message>,
-    /// It must not be sent again once it has been.
-    once: bool,
+    /// What the settings say of its class.
+    class: Rc<Class>,
     deadline: Millis,
     /// Where the answer goes; empty once it is given.
     answer: Option<oneshot::Sender<Answer>>,
@@ -105,7 +121,16 @@
     /// What carries it out, until a later attempt waits for its end.
     task: Option<JoinHandle<()>>,
     timer: TimerKey,
-    ended: bool,
+    state: AttemptState,
+    /// The place of its server.
+    zone: Arc<str>,
+    cell: u32,
+}
+
+impl Attempt {
+    fn ended(&self) -> bool {
+        self.state != AttemptState::Out
+    }
 }
 
 /// Timers in order: microseconds of Unix time, and a number that makes each unique.
@@ -125,6 +150,8 @@
 struct Listed {
     uid: Rc<str>,
     place: Place,
+    zone: Arc<str>,
+    cell: u32,
     state: TargetState,
 }
 
@@ -147,6 +174,8 @@
 pub struct Driver {
     state: RefCell<State>,
     upstream: Upstream,
+    /// Two attempts of a request may be out at once.
+    copies: bool,
     clock: Clock,
     /// From when on the node is ready, heard or not, if a server is known.
     ready_at: Cell<Millis>,
@@ -155,8 +184,8 @@
 }
 
 impl Driver {
-    /// A driver with nothing open.
-    pub fn new(gateway: Gateway, clock: Clock, upstream: Upstream) -> Rc<Self> {
+    /// A driver with nothing open; `copies` says whether two attempts of a request may be out at once.
+    pub fn new(gateway: Gateway, clock: Clock, upstream: Upstream, copies: bool) -> Rc<Self> {
         let state = State {
             gateway,
             requests: HashMap::new(),
@@ -173,6 +202,7 @@
         let driver = Rc::new(Self {
             state: RefCell::new(state),
             upstream,
+            copies,
             clock,
             ready_at: Cell::new(now + HEAR),
             sooner: Notify::new(),
@@ -211,7 +241,7 @@
         let deadline = deadline - WAY;
         let open = Open {
             message: Rc::new(ask.message),
-            once: head.once,
+            class: head.rules,
             deadline,
             answer: Some(answer),
             attempts: Vec::new(),
@@ -255,10 +285,17 @@
         let mut state = self.state.borrow_mut();
         let Some(open) = state.requests.get_mut(id) else { return };
         if open.answer.take().is_some() {
+            METRICS.client_left();
+            tracing::debug!(request = %id, "client left");
             self.leave(&mut state, id);
         }
     }
 
+    /// Requests that wait for their answer.
+    pub fn unanswered(&self) -> usize {
+        self.state.borrow().requests.values().filter(|open| open.answer.is_some()).count()
+    }
+
     /// Tells the gateway that nothing is owed for a request any more.
     fn leave(self: &Rc<Self>, state: &mut State, id: &RequestId) {
         state.events.push_back(Event::ClientGone { request: id.clone() });
@@ -287,9 +324,10 @@
                 None if gone => continue,
                 None => state.new_id(&target.uid),
             };
+            let zone = state.zone(&target.az);
             members.push(Member {
                 server,
-                zone: state.zone(&target.az),
+                zone: zone.clone(),
                 cell: target.pod_group,
                 state: match target.state {
                     TargetState::Serving => ServerState::Ready,
@@ -309,7 +347,8 @@
                     }
                     let uid: Rc<str> = target.uid.into();
                     state.names.insert(uid.clone(), server);
-                    let listed = Listed { uid, place, state: target.state };
+                    let cell = target.pod_group;
+                    let listed = Listed { uid, place, zone, cell, state: target.state };
                     state.servers.insert(server, listed);
                 }
                 _ => self.remove(&mut state, server),
@@ -347,13 +386,16 @@
         let now = micros(self.clock.now());
         // Only what is due now: a timer set meanwhile for a time that has passed fires in the next round.
         let later = state.timers.split_off(&(now + 1, 0));
-        for (_, timer) in std::mem::replace(&mut state.timers, later) {
+        for (key, timer) in std::mem::replace(&mut state.timers, later) {
             match timer {
                 Timer::Gateway(token) => state.events.push_back(Event::Timer { token }),
                 Timer::GiveUp(id, number) => self.give_up(&mut state, &id, number, Outcome::Timeout),
                 Timer::Guard(id) => {
                     // The last guard: whatever the gateway waits for, a client is answered in time.
                     if state.answer(&id, Answer::TimeUp) {
+                        if now > key.0 + LATE_ANSWER {
+                            METRICS.violation(Violation::LateAnswer, &id);
+                        }
                         self.leave(&mut state, &id);
                     }
                 }
@@ -391,7 +433,9 @@
     fn carry_out(self: &Rc<Self>, state: &mut State, action: Action) {
         match action {
             Action::Send { request, server, give_up_at } => self.send(state, request, server, give_up_at),
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse { request, retry_after, reason } => {
+                METRICS.refused(reason);
+                tracing::debug!(%request, reason = reason.name(), "refused");
                 state.answer(&request, Answer::Refused(retry_after));
                 state.drop_if_over(&request);
             }
@@ -417,14 +461,16 @@
         let give_up_at = if give_up_at > 0.0 { give_up_at.min(open.deadline) } else { open.deadline };
         // An attempt that was given up still holds its connection until its task has ended: to the app servers
         // it is out for as long, and two may not be.
-        let given_up = open.attempts.iter_mut().filter(|attempt| attempt.ended);
+        let given_up = open.attempts.iter_mut().filter(|attempt| attempt.ended());
         let given_up: Vec<_> = given_up.filter_map(|attempt| attempt.task.take()).collect();
         let progress = Rc::new(Progress::default());
-        let place = servers.get(&server).map(|s| s.place);
+        let listed = servers.get(&server);
+        let place = listed.map(|s| s.place);
+        let (zone, cell) = listed.map(|s| (s.zone.clone(), s.cell)).unwrap_or_default();
         let attempt = {
             let (driver, id, progress) = (self.clone(), id.clone(), progress.clone());
             let message = open.message.clone();
-            let once = open.once;
+            let once = open.class.effect == Effect::Unsafe;
             async move {
                 for task in given_up {
                     // Whether it ended by itself or was told to is all one.
@@ -432,7 +478,7 @@
                 }
                 let end = match place {
                     Some(place) => {
-                        let left = || driver.may_write(&id, server, place, give_up_at);
+                        let left = || driver.may_write(&id, number, place, give_up_at);
                         let request = || left().map(|left| message.request(left));
                         let keeps = || driver.state.borrow().serves(server, place);
                         driver.upstream.attempt(server, place, &progress, once, request, keeps).await
@@ -449,22 +495,19 @@
         if timers.keys().next() == Some(&timer) {
             self.sooner.notify_one();
         }
-        open.attempts.push(Attempt { server, sent_at: now, progress, task, timer, ended: false });
+        let state = AttemptState::Out;
+        open.attempts.push(Attempt { server, sent_at: now, progress, task, timer, state, zone, cell });
     }
 
-    /// The time left for an attempt whose first byte is about to be written, unless it must not be: nothing is
-    /// owed any more, the server drains, is gone or is another by now, or its time is up.
-    fn may_write(
-        &self,
-        id: &RequestId,
-        server: ServerId,
-        place: Place,
-        give_up_at: Millis,
-    ) -> Option<Millis> {
-        let left = give_up_at - self.clock.now();
+    /// The time to tell the server of an attempt whose first byte is about to be written, unless it must not be.
+    fn may_write(&self, id: &RequestId, number: u32, place: Place, give_up_at: Millis) -> Option<Millis> {
         let state = self.state.borrow();
-        let owed = state.requests.get(id).is_some_and(|open| open.answer.is_some());
-        (owed && state.serves(server, place) && left > 0.0).then_some(left)
+        let permitted = state.permit(id, number, place, give_up_at, self.clock.now(), self.copies);
+        if let Err(denied) = permitted {
+            METRICS.denied(denied);
+            tracing::debug!(request = %id, attempt = number, reason = %denied, "attempt not begun");
+        }
+        permitted.ok()
     }
 
     /// Stops waiting for an attempt and closes its connection.
@@ -488,9 +531,12 @@
     fn end(&self, state: &mut State, id: &RequestId, number: u32, end: End) {
         let now = self.clock.now();
         let Some(attempt) = state.attempt(id, number) else { return };
-        attempt.ended = true;
+        let never_ran = end.outcome.never_ran();
+        attempt.state = if never_ran { AttemptState::NeverRan } else { AttemptState::MayHaveRun };
         let (server, sent_at, timer) = (attempt.server, attempt.sent_at, attempt.timer);
         state.timers.remove(&timer);
+        METRICS.ended(end.outcome);
+        tracing::debug!(request = %id, attempt = number, server, outcome = ?end.outcome, "attempt ended");
         if end.outcome == Outcome::Ok {
             state.answer(id, Answer::Served(end.body, end.content_type));
         }
@@ -535,9 +581,40 @@
         self.servers.get(&server).is_some_and(|s| s.state == TargetState::Serving && s.place == place)
     }
 
+    /// Whether an attempt may begin now, by all that is known of its request and its server; gives the time to tell.
+    fn permit(
+        &self,
+        id: &RequestId,
+        number: u32,
+        place: Place,
+        give_up_at: Millis,
+        now: Millis,
+        copies: bool,
+    ) -> Result<Millis, Denied> {
+        let open = self.requests.get(id).ok_or(Denied::NothingOwed)?;
+        let attempt = open.attempts.get(number as usize).ok_or(Denied::NothingOwed)?;
+        let others = || open.attempts.iter().enumerate().filter(|(other, _)| *other != number as usize);
+        let states: Vec<AttemptState> = others().map(|(_, other)| other.state).collect();
+        let first = others().map(|(_, other)| other).find(|other| other.state != AttemptState::NeverRan);
+        permit::may_begin(&Beginning {
+            owed: open.answer.is_some(),
+            serves: self.serves(attempt.server, place),
+            left: give_up_at - now,
+            class: &open.class,
+            copies,
+            others: &states,
+            first: first.map(|first| FirstRun {
+                sent_at: first.sent_at,
+                same_zone: first.zone == attempt.zone,
+                same_cell: first.cell == attempt.cell,
+            }),
+            now,
+        })
+    }
+
     /// An attempt that has not ended.
     fn attempt(&mut self, id: &RequestId, number: u32) -> Option<&mut Attempt> {
-        self.requests.get_mut(id)?.attempts.get_mut(number as usize).filter(|a| !a.ended)
+        self.requests.get_mut(id)?.attempts.get_mut(number as usize).filter(|a| !a.ended())
     }
 
     /// The one place from which a final answer goes out; it fires once for a request.
@@ -546,6 +623,8 @@
         let Some(sender) = open.answer.take() else { return false };
         let guard = open.guard;
         self.timers.remove(&guard);
+        METRICS.answered(&answer);
+        tracing::debug!(request = %id, answer = answer.name(), attempts = open.attempts.len(), "answered");
         // A client that has just left needs no answer; it is told to the gateway by whoever noticed.
         let _ = sender.send(answer);
         true
@@ -553,7 +632,7 @@
 
     /// Forgets a request that is answered and has no attempt out.
     fn drop_if_over(&mut self, id: &RequestId) {
-        let over = |open: &Open| open.answer.is_none() && open.attempts.iter().all(|a| a.ended);
+        let over = |open: &Open| open.answer.is_none() && open.attempts.iter().all(Attempt::ended);
         if self.requests.get(id).is_some_and(over) {
             if let Some(open) = self.requests.remove(id) {
                 self.timers.remove(&open.guard);
--- a/src/bin/ivygate/inbound.rs
+++ b/src/bin/ivygate/inbound.rs
@@ -65,6 +65,11 @@
         self.0.ahead.borrow().is_empty() && has_ended(self.0.stream.borrow().get_ref())
     }
 
+    /// Whether the client has ended its sending or the connection has broken, whatever was read ahead.
+    pub fn is_over(&self) -> bool {
+        has_ended(self.0.stream.borrow().get_ref())
+    }
+
     /// Whether the client has sent more ahead of its answer than is kept, so that nothing behind that answer
     /// can be read.
     pub fn overrun(&self) -> bool {
--- a/src/bin/ivygate/main.rs
+++ b/src/bin/ivygate/main.rs
@@ -9,6 +9,7 @@
 mod inbound;
 mod listen;
 mod log;
+mod metrics;
 mod reload;
 mod request;
 mod server;
@@ -23,6 +24,7 @@
 use driver::Driver;
 use ivygate::{Backoff, Gateway, Millis, Settings};
 use listen::listen;
+use metrics::{Violation, METRICS};
 use reload::{load_through_trouble, reload_on};
 use request::Reader;
 use server::Server;
@@ -86,7 +88,7 @@
     let hangups = signal(SignalKind::hangup())?;
     let clock = Clock::new();
     let reader = Reader::new(&config.settings, config.bounds);
-    let driver = Driver::new(gateway, clock, Upstream::new(config.links, upstreams));
+    let driver = Driver::new(gateway, clock, Upstream::new(config.links, upstreams), config.settings.hedging);
     let rev = config.known.as_ref().map(|list| list.rev);
     if let Some(known) = config.known {
         driver.list(known);
@@ -101,12 +103,21 @@
     let discovery = Discovery::new(driver.clone(), backoff, config.most_targets);
     tokio::task::spawn_local(discovery.follow(agents, rev));
     tokio::task::spawn_local(reload_on(hangups, agent));
-    let server = Server::new(driver, reader, config.sockets - reserve(config.sockets) - upstreams);
+    if let Some(address) = std::env::var("RELAY_METRICS").ok().and_then(|address| address.parse().ok()) {
+        tokio::task::spawn_local(metrics::serve(address));
+    }
+    let server = Server::new(driver.clone(), reader, config.sockets - reserve(config.sockets) - upstreams);
     let accepting = tokio::task::spawn_local(server.clone().accept(listener));
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
+    tracing::info!("told to end");
     server.wind_up(accepting).await;
+    let unanswered = driver.unanswered();
+    if unanswered > 0 {
+        METRICS.violation(Violation::UnansweredAtEnd, &format!("{unanswered} requests"));
+    }
+    tracing::info!("ends");
     Ok(())
 }
--- a/src/bin/ivygate/request.rs
+++ b/src/bin/ivygate/request.rs
@@ -4,7 +4,8 @@
 use hyper::header::{self, HeaderMap};
 use hyper::http::request::Parts;
 use hyper::Method;
-use ivygate::{Bounds, Effect, Millis, RequestId, Settings};
+use ivygate::{Bounds, Class, Effect, Millis, RequestId, Settings};
+use std::rc::Rc;
 use std::sync::Arc;
 
 /// Longest id; far more than any client's.
@@ -16,19 +17,21 @@
 
 /// Reads heads by what the settings allow.
 pub struct Reader {
-    classes: Vec<(Arc<str>, Effect)>,
+    classes: Vec<(Arc<str>, Rc<Class>)>,
     plans: Vec<Arc<str>>,
     bounds: Bounds,
     longest_deadline: Millis,
 }
 
 /// What a head says, checked.
-#[derive(Debug, PartialEq)]
+#[derive(Debug)]
 pub struct Head {
     /// The request's id.
     pub id: RequestId,
     /// Its class.
     pub class: Arc<str>,
+    /// What the settings say of that class.
+    pub rules: Rc<Class>,
     /// The customer's plan.
     pub plan: Arc<str>,
     /// The customer.
@@ -41,15 +44,13 @@
     pub retry: bool,
     /// How long the client will wait.
     pub wait: Millis,
-    /// Whether it must never run twice.
-    pub once: bool,
 }
 
 impl Reader {
     /// A reader for these settings.
     pub fn new(settings: &Settings, bounds: Bounds) -> Self {
         Self {
-            classes: settings.classes.iter().map(|c| (c.name.as_str().into(), c.effect)).collect(),
+            classes: settings.classes.iter().map(|c| (c.name.as_str().into(), Rc::new(c.clone()))).collect(),
             plans: settings.plans.iter().map(|p| p.name.as_str().into()).collect(),
             bounds,
             longest_deadline: settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max),
@@ -70,7 +71,7 @@
         let id = one(headers, "req-id")?.filter(|id| is_name(id, ID_MOST));
         let id = id.ok_or("Req-Id is missing or malformed")?;
         let kind = one(headers, "req-kind")?.ok_or("Req-Kind is missing")?;
-        let (class, effect) =
+        let (class, rules) =
             self.classes.iter().find(|(name, _)| **name == *kind).ok_or("Req-Kind is unknown")?;
         let plan = one(headers, "api-plan")?.ok_or("Api-Plan is missing")?;
         let plan = self.plans.iter().find(|name| ***name == *plan).ok_or("Api-Plan is unknown")?;
@@ -81,7 +82,8 @@
         let wait = wait.ok_or("Req-Deadline is missing, malformed or too long")?;
         let terms = one(headers, "api-terms")?.and_then(|text| self.terms(text));
         let (units, width) = terms.ok_or("Api-Terms is missing, malformed or out of range")?;
-        let method = if *effect == Effect::Safe { Method::GET } else { Method::POST };
+        let effect = rules.effect;
+        let method = if effect == Effect::Safe { Method::GET } else { Method::POST };
         if head.method != method {
             return Err("the method does not fit the class");
         }
@@ -91,10 +93,9 @@
             (None, false) => {}
             _ => return Err("Idempotency-Key does not fit the class"),
         }
-        let (class, plan) = (class.clone(), plan.clone());
-        let once = *effect == Effect::Unsafe;
+        let (class, rules, plan) = (class.clone(), rules.clone(), plan.clone());
         let retry = one(headers, "req-retry")? == Some("1");
-        Ok(Head { id: id.into(), class, plan, customer, units, width, retry, wait, once })
+        Ok(Head { id: id.into(), class, rules, plan, customer, units, width, retry, wait })
     }
 
     /// Units and the number of nodes through which the customer may come.
--- a/src/bin/ivygate/server.rs
+++ b/src/bin/ivygate/server.rs
@@ -4,6 +4,7 @@
 use crate::accept::{AcceptFailures, SHORTAGE_PAUSE};
 use crate::driver::{Answer, Ask, Driver, Message};
 use crate::inbound::Inbound;
+use crate::metrics::{CloseReason, Violation, METRICS};
 use crate::request::Reader;
 use crate::upstream::BODY_MOST;
 use bytes::Bytes;
@@ -117,6 +118,13 @@
         self.since.set(Instant::now());
     }
 
+    /// Tells it to close as soon as nothing is under way on it.
+    fn close_for(&self, reason: CloseReason) {
+        METRICS.closing(reason);
+        tracing::debug!(?reason, phase = ?self.phase.get(), served = self.served.get(), "connection to close");
+        self.close.notify_one();
+    }
+
     /// Marks a request as coming in and tells since when.
     fn reading(&self) -> Instant {
         if self.phase.get() == Phase::Idle {
@@ -249,7 +257,7 @@
         spare.sort_unstable_by_key(|(way, _)| *way);
         for (_, client) in spare.into_iter().take(staying.saturating_sub(wanted)) {
             client.leaving.set(true);
-            client.close.notify_one();
+            client.close_for(CloseReason::MakingRoom);
         }
     }
 
@@ -258,7 +266,7 @@
         let clients = self.clients.borrow();
         for client in clients.values() {
             if client.allowed().is_some_and(|allowed| client.since.get().elapsed() >= allowed) {
-                client.close.notify_one();
+                client.close_for(CloseReason::Overdue);
             }
         }
     }
@@ -273,7 +281,7 @@
                 Phase::Idle => client.since.get().elapsed() >= least,
             };
             if idle {
-                client.close.notify_one();
+                client.close_for(CloseReason::WindingUp);
             }
         }
     }
@@ -371,7 +379,7 @@
                 Ok(_) if inbound.ended() => (plain(StatusCode::BAD_REQUEST, "the client has left"), false),
                 Ok(ask) => {
                     client.enter(Phase::Open);
-                    match self.ask(ask).await {
+                    match self.ask(ask, inbound).await {
                         Some(response) => (response, true),
                         None => (plain(StatusCode::CONFLICT, "a request of this id is open"), false),
                     }
@@ -399,11 +407,11 @@
     }
 
     /// The answer to a request, or `None` if one of its id is open.
-    async fn ask(&self, ask: Ask) -> Option<Response<Full<Bytes>>> {
+    async fn ask(&self, ask: Ask, inbound: &Inbound) -> Option<Response<Full<Bytes>>> {
         let id = ask.head.id.clone();
         let answer = self.driver.arrive(ask)?;
         // This future is dropped when the client ends its connection.
-        let mut leaving = Leaving { driver: &self.driver, id: Some(id) };
+        let mut leaving = Leaving { driver: &self.driver, inbound, id: Some(id) };
         let answer = answer.await;
         leaving.id = None;
         Some(match answer {
@@ -554,12 +562,16 @@
 /// Tells the driver that the client has left, unless its answer came first.
 struct Leaving<'a> {
     driver: &'a Rc<Driver>,
+    inbound: &'a Inbound,
     id: Option<RequestId>,
 }
 
 impl Drop for Leaving<'_> {
     fn drop(&mut self) {
         if let Some(id) = self.id.take() {
+            if !self.inbound.is_over() {
+                METRICS.violation(Violation::ClosedOpenRequest, &id);
+            }
             self.driver.client_gone(&id);
         }
     }
@@ -601,7 +613,7 @@
         let settings = setup.settings().expect("settings");
         let reader = Reader::new(&settings, bounds);
         let gateway = Gateway::new(settings, 1).expect("settings");
-        let driver = Driver::new(gateway, Clock::new(), Upstream::new(links, 10));
+        let driver = Driver::new(gateway, Clock::new(), Upstream::new(links, 10), false);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let client = std::net::TcpStream::connect(listener.local_addr().expect("an address"));
         (Server::new(driver, reader, 10), listener, client.expect("it connects"))
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -229,6 +229,21 @@
 }
 
 impl Outcome {
+    /// A word for it, for logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Outcome::Ok => "ok",
+            Outcome::Error => "error",
+            Outcome::Spoilt => "spoilt",
+            Outcome::Full => "full",
+            Outcome::Timeout => "timeout",
+            Outcome::ConnectFailed => "connect_failed",
+            Outcome::Reset => "reset",
+            Outcome::Cancelled => "cancelled",
+            Outcome::Moot => "moot",
+        }
+    }
+
     /// Whether the outcome proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
         matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
@@ -334,6 +349,34 @@
     },
 }
 
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// Its class or plan is unknown.
+    Unknown,
+    /// It is beyond its customer's quota.
+    OverQuota,
+    /// It would pass its customer's ceiling.
+    AtCeiling,
+    /// No server has room for it.
+    NoRoom,
+    /// Its attempts have failed, and it gets no further one.
+    AttemptsFailed,
+}
+
+impl RefusalReason {
+    /// A word for it, for logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            RefusalReason::Unknown => "unknown",
+            RefusalReason::OverQuota => "over_quota",
+            RefusalReason::AtCeiling => "at_ceiling",
+            RefusalReason::NoRoom => "no_room",
+            RefusalReason::AttemptsFailed => "attempts_failed",
+        }
+    }
+}
+
 /// What a gateway wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -352,6 +395,8 @@
         request: RequestId,
         /// How long the client should stay away, 0 for no advice.
         retry_after: Millis,
+        /// Why it was refused.
+        reason: RefusalReason,
     },
     /// Final answer: failed, nothing is promised.
     Fail {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 mod cold;
 mod interface;
 mod listing;
+pub mod permit;
 mod rules;
 mod settings;
 mod setup;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,8 +5,9 @@
 mod servers;
 
 use crate::interface::*;
+use crate::permit::{self, AttemptState, FirstRun};
 use crate::settings::{check, SettingsError};
-use crate::state::{Attempt, AttemptState, Customer, Request, Server};
+use crate::state::{Attempt, Customer, Request, Server};
 use crate::subset::Subset;
 use choice::Candidate;
 use quota::{reading_life, Admission, PlanUse, FRESH_ANSWERS};
@@ -144,7 +145,8 @@
         let class = self.settings.classes.iter().position(|c| *c.name == *arrival.class);
         let plan = self.settings.plans.iter().position(|p| *p.name == *arrival.plan);
         let (Some(class), Some(plan)) = (class, plan) else {
-            actions.push(Action::Refuse { request: id, retry_after: 0.0 });
+            let reason = RefusalReason::Unknown;
+            actions.push(Action::Refuse { request: id, retry_after: 0.0, reason });
             return;
         };
         let aim_at = self.now + self.settings.classes[class].aim;
@@ -156,7 +158,8 @@
         if admission == Admission::AtCeiling || (admission == Admission::OverQuota && !pays) {
             let ceiling = admission == Admission::AtCeiling;
             *if ceiling { &mut self.refused.at_ceiling } else { &mut self.refused.over_quota } += 1;
-            actions.push(Action::Refuse { request: id, retry_after });
+            let reason = if ceiling { RefusalReason::AtCeiling } else { RefusalReason::OverQuota };
+            actions.push(Action::Refuse { request: id, retry_after, reason });
             return;
         }
         let attempts = Vec::new();
@@ -183,7 +186,8 @@
             }
             _ => {
                 self.refused.no_room += 1;
-                actions.push(Action::Refuse { request: id, retry_after });
+                let reason = RefusalReason::NoRoom;
+                actions.push(Action::Refuse { request: id, retry_after, reason });
             }
         }
     }
@@ -197,22 +201,22 @@
     /// Rule two: whether a further attempt may go to this server.
     fn may_send(&self, request: &Request, server: &Server) -> bool {
         let Some(first) = request.first_that_may_have_run() else { return true };
-        let class = &self.settings.classes[request.class];
-        let Effect::Keyed(scope) = class.effect else { return class.effect == Effect::Safe };
-        let Some(home) = self.servers.get(&first.server) else { return false };
-        let same = match scope {
-            KeyScope::All => true,
-            KeyScope::Zone => home.zone == server.zone,
-            KeyScope::Cell => home.cell == server.cell,
+        let Some(home) = self.servers.get(&first.server) else {
+            return self.settings.classes[request.class].effect == Effect::Safe;
         };
-        // It starts when its connection has come up, and the window counts from the first one's start.
-        same && self.now + self.settings.connect_timeout < first.sent_at + class.key_window - MARGIN
+        let first = FirstRun {
+            sent_at: first.sent_at,
+            same_zone: home.zone == server.zone,
+            same_cell: home.cell == server.cell,
+        };
+        // It begins when its connection has come up.
+        let begins_by = self.now + self.settings.connect_timeout;
+        permit::may_repeat(&self.settings.classes[request.class], first, begins_by).is_ok()
     }
 
     /// Rule two: whether the client may be told that trying again is harmless.
     fn may_refuse(&self, request: &Request) -> bool {
-        let effect = self.settings.classes[request.class].effect;
-        request.never_ran() || matches!(effect, Effect::Safe | Effect::Keyed(KeyScope::All))
+        permit::may_refuse(self.settings.classes[request.class].effect, request.never_ran())
     }
 
     /// When an answer stops earning anything.
@@ -300,7 +304,8 @@
         }
         let answer = if self.may_refuse(&request) {
             let retry_after = self.retry_after(request.aim_at, request.arrival.deadline);
-            Action::Refuse { request: id.clone(), retry_after }
+            let reason = RefusalReason::AttemptsFailed;
+            Action::Refuse { request: id.clone(), retry_after, reason }
         } else {
             Action::Fail { request: id.clone() }
         };
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,16 +1,10 @@
 //! Records of what a gateway knows, without any policy.
 
 use crate::interface::{Arrival, Member, Millis, Plan, RequestId, ServerId, ServerState};
+use crate::permit::AttemptState;
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AttemptState {
-    Out,
-    NeverRan,
-    MayHaveRun,
-}
-
 #[derive(Clone, Debug)]
 pub struct Attempt {
     pub server: ServerId,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1055,15 +1055,16 @@
     // Nobody is left to turn to: the only server drains.
     rig.list(2.0, ListKind::Changes, vec![member(1, 0, ServerState::Draining)]);
     let actions = rig.done(201.0, &request, 0, Outcome::Reset);
+    let reason = RefusalReason::AttemptsFailed;
     // A quarter of the 800 ms that are left of the aim.
-    assert_eq!(actions, vec![Action::Refuse { request, retry_after: 200.0 }]);
+    assert_eq!(actions, vec![Action::Refuse { request, retry_after: 200.0, reason }]);
     // Where clients are not told, and once the aim has passed, there is no advice.
     for (told, end) in [(None, 201.0), (Some(1_000.0), 1_500.0)] {
         let mut rig = Rig::new(Settings { max_retry_after: told, ..settings() }, servers(1));
         let (request, _) = rig.arrive(1.0, "read", "a");
         rig.list(2.0, ListKind::Changes, vec![member(1, 0, ServerState::Draining)]);
         let actions = rig.done(end, &request, 0, Outcome::Reset);
-        assert_eq!(actions, vec![Action::Refuse { request, retry_after: 0.0 }]);
+        assert_eq!(actions, vec![Action::Refuse { request, retry_after: 0.0, reason }]);
     }
 }
 
