--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -247,6 +247,9 @@
             return Err(ExperimentError::Size("nodes: a size is 0"));
         }
         let soak = &self.soak;
+        if soak.nodes > 250 {
+            return Err(ExperimentError::Size("soak: more than 250 nodes"));
+        }
         if soak.nodes == 0 || soak.servers == 0 || soak.runs == 0 || soak.at_once == 0 {
             return Err(ExperimentError::Size("soak: a size is 0"));
         }
--- a/lab/src/soak/node.rs
+++ b/lab/src/soak/node.rs
@@ -19,6 +19,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
+/// Where nodes listen, each at an address of its own; no port that the system gives.
+const PORT: u16 = 9_000;
 /// A node that starts is to be ready within this time.
 const READY_WITHIN: Duration = Duration::from_secs(10);
 /// A node that was told to end may be killed after this time: the longest deadline, taken for 3 s, and 0.7 s.
@@ -78,8 +80,9 @@
         fleet: Arc<Fleet>,
         oracle: Arc<Oracle>,
     ) -> io::Result<Arc<Self>> {
-        // Free now, and the node's own from here on.
-        let address = std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        // Of its own on the loopback network, so that it is free again whenever the node starts anew.
+        let host = [127, 64 + (fleet.seed / 250 % 64) as u8, (fleet.seed % 250) as u8, rank as u8 + 1];
+        let address = SocketAddr::from((host, PORT));
         Ok(Arc::new(Self {
             rank,
             address,
