--- a/src/bin/ivygate/server.rs
+++ b/src/bin/ivygate/server.rs
@@ -680,4 +680,30 @@
         };
         LocalSet::new().run_until(test).await;
     }
+
+    #[tokio::test]
+    async fn a_request_is_not_cut_off_over_its_end_that_only_the_kernel_knows_of() {
+        let test = async {
+            let (server, listener, mut client) = server().await;
+            server.take(listener.accept().await.expect("it is accepted").0);
+            let request = b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n";
+            client.write_all(&request[..10]).expect("it is written");
+            let known = server.clients.borrow().values().next().expect("a client").clone();
+            while known.phase.get() != Phase::Reading {
+                yield_now().await;
+            }
+            // From here on nothing is polled before the word to close.
+            client.write_all(&request[10..]).expect("it is written");
+            known.close.notify_one();
+            assert_eq!(status(&mut client).await, "HTTP/1.1 503 Service Unavailable");
+            // Half of one with nothing behind it is closed.
+            client.write_all(&request[..10]).expect("it is written");
+            while known.phase.get() != Phase::Reading {
+                yield_now().await;
+            }
+            known.close.notify_one();
+            assert_eq!(status(&mut client).await, "");
+        };
+        LocalSet::new().run_until(test).await;
+    }
 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -340,6 +340,27 @@
     assert_eq!(node.exit_code(), Some(0));
 }
 
+#[test]
+fn after_sigterm_requests_that_came_together_are_all_answered() {
+    let app = App::start(|request| match &*id_of(request) {
+        "r0" => Reply::Slow(Duration::from_millis(700)),
+        id => Reply::ok(id),
+    });
+    let mut node = Node::with(&[serving("a", &app, "north")]);
+    let mut client = node.client();
+    // All in one piece, so that the node has read all of them before the first is answered.
+    let all: String = (0..4).map(|n| request("order", &format!("r{n}"))).collect();
+    client.write(all.as_bytes());
+    until("the first is out", || app.seen() == 1);
+    node.terminate();
+    for number in 0..4 {
+        let answer = client.read().unwrap_or_else(|| panic!("no answer to request {number}"));
+        assert_eq!(answer.status(), 200);
+    }
+    assert!(client.read().is_none());
+    assert_eq!(node.exit_code(), Some(0));
+}
+
 #[test]
 fn a_body_over_the_limit_is_refused_as_too_large() {
     let app = App::start(|_| Reply::ok("x"));
