Look once more before a half-read request is closed

Cause: Server::serve (server.rs) returned at once from a connection in Phase::Reading that was told to close, though the end of its request might lie in the kernel's buffer (a node held up, a slow client, the moment of the time-out).

--- a/src/bin/ivygate/server.rs
+++ b/src/bin/ivygate/server.rs
@@ -136,6 +136,11 @@
         self.since.get()
     }
 
+    /// Whether it has asked for nothing since it connected.
+    fn is_silent(&self) -> bool {
+        self.phase.get() == Phase::Idle && self.served.get() == 0
+    }
+
     /// How long it may stay as it is; `None` for as long as it likes.
     fn allowed(&self) -> Option<Duration> {
         match (self.phase.get(), self.served.get()) {
@@ -329,30 +334,31 @@
                 () = poll_fn(|cx| poll_end(connection.as_mut(), &client, &inbound, cx)) => return,
                 () = client.close.notified() => {}
             }
-            let served = client.served.get();
-            match client.phase.get() {
+            let (phase, served) = (client.phase.get(), client.served.get());
+            match phase {
                 // The word came too late: a request has come in whole meanwhile, and is answered.
                 Phase::Open => {
                     connection.as_mut().graceful_shutdown();
                     continue;
                 }
-                // Guards the descriptors against clients that connect and send nothing, or never the rest:
-                // there is no answer that could still be on its way to them.
-                Phase::Reading => return,
-                // A request that lies in the kernel's buffer has been taken, though hyper has not seen it.
-                Phase::Idle if served == 0 || inbound.has_news() => {
+                // What lies in the kernel's buffer has come, though hyper has not seen it: it may be the rest of a
+                // request, or one on a connection that rested.
+                Phase::Reading | Phase::Idle if inbound.has_news() || client.is_silent() => {
                     let end = poll_fn(|cx| poll_end(connection.as_mut(), &client, &inbound, cx));
                     if timeout(LAST_LOOK, end).await.is_ok() {
                         return;
                     }
-                    if client.phase.get() != Phase::Idle || client.served.get() != served {
+                    if client.phase.get() != phase || client.served.get() != served {
                         client.leaving.set(false);
                         continue;
                     }
-                    if served == 0 {
+                    // Guards the descriptors against clients that send nothing, or never the rest: there is no
+                    // answer that could still be on its way to them.
+                    if phase == Phase::Reading || served == 0 {
                         return;
                     }
                 }
+                Phase::Reading => return,
                 Phase::Idle => {}
             }
             connection.as_mut().graceful_shutdown();
