Answer all requests that came together before a node that ends closes their connection

Cause: Server::answer (server.rs) put Connection: close on every answer behind SIGTERM, and hyper drops what it has read behind such an answer: requests that came in one piece with it were read and never answered. Change: a connection of which more has been read than the request answered stays until it rests.

--- a/src/bin/ivygate/inbound.rs
+++ b/src/bin/ivygate/inbound.rs
@@ -36,6 +36,8 @@
     came: RefCell<VecDeque<(usize, Instant)>>,
     /// When the last byte came that hyper has read.
     arrived: Cell<Instant>,
+    /// Bytes that hyper has read.
+    read: Cell<u64>,
     /// More came than is kept.
     overrun: Cell<bool>,
     /// Called when hyper has read something.
@@ -50,6 +52,7 @@
             ahead: RefCell::default(),
             came: RefCell::default(),
             arrived: Cell::new(Instant::now()),
+            read: Cell::default(),
             overrun: Cell::default(),
             on_read: Box::new(on_read),
         }))
@@ -65,6 +68,11 @@
         self.0.ahead.borrow().is_empty() && has_ended(self.0.stream.borrow().get_ref())
     }
 
+    /// How many bytes hyper has read so far.
+    pub fn read(&self) -> u64 {
+        self.0.read.get()
+    }
+
     /// Whether the client has ended its sending or the connection has broken, whatever was read ahead.
     pub fn is_over(&self) -> bool {
         has_ended(self.0.stream.borrow().get_ref())
@@ -152,7 +160,9 @@
                 other => return other,
             }
         }
-        if buf.filled().len() > before {
+        let read = buf.filled().len() - before;
+        if read > 0 {
+            self.0.read.set(self.0.read.get() + read as u64);
             (self.0.on_read)();
         }
         Poll::Ready(Ok(()))
--- a/src/bin/ivygate/server.rs
+++ b/src/bin/ivygate/server.rs
@@ -31,6 +31,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::{interval, sleep, timeout, Instant};
 
+/// So many bytes behind a request are the beginning of a next one: no request line is shorter.
+const NEXT_LEAST: u64 = 16;
 /// Most that hyper holds of a connection's input at once; more than any request's head needs.
 const BUFFER: usize = 16 << 10;
 /// A client has this long to send a whole request: from when it connects, or from the first byte of a later
@@ -106,6 +108,8 @@
     since: Cell<Instant>,
     /// Requests answered.
     served: Cell<u32>,
+    /// Bytes of the requests read so far, about.
+    consumed: Cell<u64>,
     /// It is to close as soon as nothing is under way on it.
     close: Notify,
     /// It has been told to, to make room.
@@ -298,6 +302,7 @@
             phase: Cell::new(Phase::Idle),
             since: Cell::new(Instant::now()),
             served: Cell::new(0),
+            consumed: Cell::new(0),
             close: Notify::new(),
             leaving: Cell::new(false),
         });
@@ -376,6 +381,7 @@
         inbound: &Inbound,
     ) -> Result<Response<Full<Bytes>>, hyper::Error> {
         let begun = client.reading();
+        client.consumed.set(client.consumed.get() + length_of(&request));
         let (mut response, stays) = if request.uri().path() == "/up" {
             (self.up(&request), true)
         } else {
@@ -396,7 +402,9 @@
         };
         // Guards against what may lie behind a request that was not read to its end or by its own rules, and
         // against a client that goes on with more of the kind at full speed.
-        if self.ending.get() || !stays || inbound.overrun() {
+        // What has been read is answered, also by a node that ends: its connection is closed once it rests.
+        let more = inbound.has_news() || inbound.read() >= client.consumed.get() + NEXT_LEAST;
+        if (self.ending.get() && !more) || !stays || inbound.overrun() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
@@ -481,6 +489,16 @@
     }
 }
 
+/// The bytes of a request as it is usually written. One that is written otherwise may be a little shorter or longer.
+fn length_of(request: &Request<Incoming>) -> u64 {
+    const LINE: usize = "  HTTP/1.1\r\n".len() + "\r\n".len();
+    const HEADER: usize = ": \r\n".len();
+    let line = LINE + request.method().as_str().len() + request.uri().to_string().len();
+    let headers: usize =
+        request.headers().iter().map(|(name, value)| HEADER + name.as_str().len() + value.len()).sum();
+    (line + headers) as u64 + request.body().size_hint().exact().unwrap_or(0)
+}
+
 /// Why a request is not taken.
 enum Unfit {
     /// It is answered so.
