--- a/lab/src/soak/discovery.rs
+++ b/lab/src/soak/discovery.rs
@@ -68,6 +68,15 @@
         self.rev.send_replace(rev);
     }
 
+    /// A server has restarted: its entry is told anew, whatever its state is by now.
+    pub fn restarted(&self, uid: &str) {
+        let standing =
+            self.entries().iter().find(|entry| entry.server.uid == uid).map(|entry| entry.standing);
+        if standing == Some(Standing::Serving) {
+            self.change(uid, Standing::Serving);
+        }
+    }
+
     /// Adds a server.
     pub fn add(&self, server: Arc<Server>) {
         let rev = *self.rev.borrow() + 1;
--- a/lab/src/soak/trouble.rs
+++ b/lab/src/soak/trouble.rs
@@ -160,7 +160,7 @@
                 for server in self.some_servers(&mut rng) {
                     server.restart().await?;
                     sleep(Duration::from_millis(rng.random_range(0..500))).await;
-                    self.roster.change(&server.uid, Standing::Serving);
+                    self.roster.restarted(&server.uid);
                 }
             }
             Trouble::ServersReplaced => self.replace_servers(&mut rng).await?,
