Test, failing: a spoilt figure of the meter shows that the meter runs

Done tells whether a figure came along at all. A gateway that restarts among servers whose figures are spoilt takes the fleet for new after four answers and its parts of all ceilings for half full: 3 of 20 requests pass where none may.

--- a/examples/one_gateway.rs
+++ b/examples/one_gateway.rs
@@ -78,6 +78,7 @@
                     elapsed: 20.0,
                     closed: true,
                     use_percent: None,
+                    metered: false,
                     load: Load::default(),
                 };
                 gateway.handle(now + 20.0, Event::Done(done), &mut actions);
--- a/lab/src/deployment.rs
+++ b/lab/src/deployment.rs
@@ -83,6 +83,7 @@
         elapsed,
         closed: true,
         use_percent: None,
+        metered: false,
         load: Load::default(),
     }
 }
--- a/lab/src/fleet/run.rs
+++ b/lab/src/fleet/run.rs
@@ -398,6 +398,7 @@
             elapsed: self.now - record.sent_at,
             closed: outcome == Outcome::Ok,
             use_percent: None,
+            metered: false,
             load: Load { in_flight: (outcome == Outcome::Ok).then_some(held), ..Load::default() },
         };
         let life = record.life;
--- a/src/bin/ivygate-adapter/wire.rs
+++ b/src/bin/ivygate-adapter/wire.rs
@@ -175,6 +175,7 @@
                 elapsed: m.number("elapsedMs")?,
                 closed: m.whole_or("last", 0)? == 1,
                 use_percent: Some(m.number_or("quotaUse", 0.0)?).filter(|u| *u > 0.0).map(|u| u - 1.0),
+                metered: m.number_or("quotaUse", 0.0)? > 0.0,
                 load: load(m)?,
             }),
             "opened" => {
--- a/src/bin/ivygate/driver.rs
+++ b/src/bin/ivygate/driver.rs
@@ -549,6 +549,7 @@
             elapsed: now - sent_at,
             closed,
             use_percent: end.use_percent,
+            metered: end.metered,
             load: end.load,
         }));
         state.drop_if_over(id);
--- a/src/bin/ivygate/upstream.rs
+++ b/src/bin/ivygate/upstream.rs
@@ -61,6 +61,8 @@
     pub content_type: Option<HeaderValue>,
     /// The customer's use, in percent.
     pub use_percent: Option<f64>,
+    /// A figure of that use came along, be it one that can be used or not.
+    pub metered: bool,
     /// The app server's load.
     pub load: Load,
 }
@@ -68,7 +70,14 @@
 impl End {
     /// An end that brought nothing along.
     pub fn bare(outcome: Outcome) -> Self {
-        Self { outcome, body: Bytes::new(), content_type: None, use_percent: None, load: Load::default() }
+        Self {
+            outcome,
+            body: Bytes::new(),
+            content_type: None,
+            use_percent: None,
+            metered: false,
+            load: Load::default(),
+        }
     }
 }
 
@@ -380,6 +389,7 @@
     End {
         outcome,
         use_percent: use_percent.filter(|u: &f64| (0.0..=USE_MOST).contains(u)),
+        metered: headers.contains_key("api-usage"),
         load: load.map_or_else(Load::default, LoadReport::load),
         content_type: headers.get(CONTENT_TYPE).cloned(),
         body: answer.body,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -301,6 +301,8 @@
     pub closed: bool,
     /// Use of the customer over all gateways in the last metered period, in percent of its rate.
     pub use_percent: Option<f64>,
+    /// Whether a figure of the meter came along, be it one that can be used or not.
+    pub metered: bool,
     /// The server's report, if one came along.
     pub load: Load,
 }
--- a/tests/calm.rs
+++ b/tests/calm.rs
@@ -287,6 +287,7 @@
                     use_percent: deployment
                         .meter_period
                         .and_then(|period| customer.reading(now, limits, period)),
+                    metered: false,
                     load: Load::default(),
                 };
                 gateways[gateway as usize].handle(now, Event::Done(done), &mut actions);
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -109,6 +109,7 @@
                     elapsed: seems * work * if long { 2.0 } else { 0.5 },
                     closed: !turned_away,
                     use_percent: None,
+                    metered: false,
                     load: Load::default(),
                 };
                 actions.clear();
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -103,6 +103,7 @@
             elapsed: 50.0,
             closed: outcome == Outcome::Ok,
             use_percent: None,
+            metered: false,
             load: Load::default(),
         };
         self.handle(now, Event::Done(done))
@@ -201,6 +202,7 @@
         elapsed: 5.0,
         closed: true,
         use_percent: Some(percent),
+        metered: true,
         load: Load::default(),
     };
     rig.handle(now, Event::Done(done));
@@ -291,6 +293,7 @@
         elapsed: 5.0,
         closed: true,
         use_percent: None,
+        metered: false,
         load: Load::default(),
     }
 }
@@ -298,17 +301,23 @@
 /// Units of a customer under a ceiling that pass at once at a gateway of a set of two, after answers to
 /// another customer's requests; `percent` is what each of them tells of the meter.
 fn passes_after_answers(percent: &[Option<f64>], meter: Option<f64>) -> usize {
+    let answers = percent.iter().map(|percent| Done { use_percent: *percent, ..answer("") });
+    passes_after(&answers.collect::<Vec<_>>(), meter)
+}
+
+/// How many of 20 requests pass a ceiling at a new gateway that has had these answers to requests of others.
+fn passes_after(answers: &[Done], meter: Option<f64>) -> usize {
     let mut settings = Settings { meter_period: meter, ..with_ceiling() };
     let plain =
         Plan { name: "plain".into(), ceiling_rate: 0.0, ceiling_burst: 0.0, ..settings.plans[0].clone() };
     settings.plans.push(plain);
     let mut rig = Rig::new(settings, servers(9));
-    for (n, percent) in percent.iter().enumerate() {
+    for (n, done) in answers.iter().enumerate() {
         let now = 10.0 * (n + 1) as f64;
         let request = format!("o{n}");
         let ask = Arrival { plan: "plain".into(), ..arrival(&request, "other", now, 1.0, 2) };
         assert!(sent_to(&rig.handle(now, Event::Arrival(ask))).is_some());
-        rig.handle(now + 5.0, Event::Done(Done { use_percent: *percent, ..answer(&request) }));
+        rig.handle(now + 5.0, Event::Done(Done { request: request.into(), ..done.clone() }));
     }
     (0..20).filter(|_| sent_to(&rig.arrive(200.0, "read", "b").1).is_some()).count()
 }
@@ -325,6 +334,13 @@
     assert_eq!(passes_after_answers(&[Some(0.0), None, None, None, None, None], Some(1_000.0)), 0);
 }
 
+#[test]
+fn a_reading_that_cannot_be_used_shows_that_the_meter_runs() {
+    // Spoilt figures are those of a fleet that has run for long, in which another life may have used the ceiling up.
+    let spoilt = vec![Done { metered: true, ..answer("") }; 8];
+    assert_eq!(passes_after(&spoilt, Some(1_000.0)), 0);
+}
+
 #[test]
 fn gateways_that_restart_before_a_late_first_reading_keep_a_ceiling() {
     let mut settings = with_ceiling();
@@ -417,6 +433,7 @@
                 elapsed: 50.0,
                 closed: true,
                 use_percent: None,
+                metered: false,
                 load: Load { in_flight: Some(60.0), ..Load::default() },
             };
             rig.handle(now + 50.0, Event::Done(done));
@@ -446,6 +463,7 @@
             elapsed: aim / 8.0,
             closed: true,
             use_percent: None,
+            metered: false,
             // What a request needs is learned before the server tells of its processors.
             load: Load { utilization: (i >= 20).then_some(1.0), ..Load::default() },
         };
@@ -471,6 +489,7 @@
                 elapsed,
                 closed: true,
                 use_percent: None,
+                metered: false,
                 load: Load::default(),
             };
             done.elapsed = elapsed;
@@ -604,6 +623,7 @@
                     elapsed: 50.0,
                     closed,
                     use_percent: Some(80.0),
+                    metered: true,
                     load: Load::default(),
                 };
                 actions = rig.handle(now, Event::Done(done));
@@ -782,6 +802,7 @@
                     elapsed: 100.0,
                     closed: true,
                     use_percent: None,
+                    metered: false,
                     load: Load::default(),
                 };
                 gateway.handle(now, Event::Done(done), &mut actions);
@@ -837,6 +858,7 @@
                 elapsed: 100.0,
                 closed: !lost,
                 use_percent: None,
+                metered: false,
                 load: Load::default(),
             };
             actions = rig.handle(now + 5.0, Event::Done(done));
@@ -861,6 +883,7 @@
         elapsed: 900.0,
         closed: true,
         use_percent: None,
+        metered: false,
         load: Load::default(),
     };
     rig.handle(900.0, Event::Done(done));
@@ -1245,6 +1268,7 @@
                 elapsed: 1.0,
                 closed: true,
                 use_percent: None,
+                metered: false,
                 load: Load::default(),
             };
             rig.handle(now + 1.0, Event::Done(done));
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -61,6 +61,7 @@
                         elapsed: 5.0,
                         closed: true,
                         use_percent: Some(10.0),
+                        metered: true,
                         load: Load::default(),
                     };
                     gateway.handle(now + 5.0, Event::Done(done), &mut actions);
--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -115,6 +115,7 @@
                 elapsed: ANSWERED_AFTER,
                 closed: works,
                 use_percent: None,
+                metered: false,
                 load: Load::default(),
             };
             actions = self.handle(Event::Done(done));
