Take a figure of the meter that cannot be used for a sign that the meter runs

Cause: Gateway::done (rules.rs) counted every good answer without a usable figure towards FRESH_ANSWERS; behind a restart four spoilt ones in a row filled the node's parts of ceilings by half though its earlier life had emptied them. Change: Done::metered ends that count.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -276,6 +276,8 @@
                 self.answers_without_reading = u32::MAX;
                 self.read_meter(plan, &arrival, percent);
             }
+            // One that cannot be used is a sign of the meter all the same.
+            None if done.metered => self.answers_without_reading = u32::MAX,
             None if done.outcome == Outcome::Ok && self.answers_without_reading < FRESH_ANSWERS => {
                 self.read_nothing();
             }
