--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -249,3 +249,17 @@
     let node = Node::start(&config(discovery.address, "null", SETTINGS, 1024));
     assert_eq!(node.ask(&request("read", "r")).body, b"old");
 }
+
+#[test]
+fn a_server_that_is_listed_without_an_address_is_never_chosen() {
+    let app = App::start(|_| Reply::ok("x"));
+    let nowhere = |uid: &str| {
+        target(uid, app.address, "north", "SERVING").replace(&format!("\"{}\"", app.address), "null")
+    };
+    let mut list: Vec<String> = (0..9).map(|number| nowhere(&format!("n{number}"))).collect();
+    list.push(target("a", app.address, "north", "SERVING"));
+    let node = Node::with(&list);
+    for number in 0..20 {
+        assert_eq!(node.ask(&request("order", &format!("r{number}"))).status(), 200);
+    }
+}
