Take a server that is listed without an address for gone

Cause: Driver::list (driver.rs) told the gateway of an entry by its state alone and kept none for itself where there was no endpoint; attempts there were moot at once, and a request spent all of its attempts on such entries.

--- a/src/bin/ivygate/driver.rs
+++ b/src/bin/ivygate/driver.rs
@@ -330,6 +330,8 @@
                 zone: zone.clone(),
                 cell: target.pod_group,
                 state: match target.state {
+                    // Nothing can be sent there.
+                    _ if target.endpoint.is_none() => ServerState::Gone,
                     TargetState::Serving => ServerState::Ready,
                     TargetState::Draining => ServerState::Draining,
                     TargetState::Deleted => ServerState::Gone,
