--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use ivygate_faults::{errno, Faults, Point};
+use std::process::{Command, Stdio};
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 use support::*;
@@ -113,3 +115,28 @@
     });
     assert!(signals > 2);
 }
+
+#[test]
+fn a_signal_that_comes_while_the_node_still_reads_its_configuration_does_not_end_it() {
+    let app = App::start(|_| Reply::ok("x"));
+    let (agent, known) = discovery(1, "a", &app);
+    let faults = Faults::new().expect("a control file");
+    // It is held in its first steps for as long as its file cannot be opened.
+    faults.fail_often(Point::Open, 1000, errno::ENFILE).expect("it is set");
+    let path = scratch(&config(agent.address, &known, SETTINGS, 1024));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ivygate"));
+    command.env("RELAY_CONFIG", &path).stderr(Stdio::null());
+    faults.apply(&mut command);
+    let mut child = command.spawn().expect("it starts");
+    until("it tries to read its file", || faults.injected(Point::Open).expect("it is told") > 1);
+    let id = child.id().to_string();
+    assert!(Command::new("kill").args(["-HUP", &id]).status().expect("kill runs").success());
+    faults.heal().expect("it is set");
+    until("discovery is watched", || {
+        assert!(child.try_wait().expect("it can be waited for").is_none(), "the signal has ended it");
+        agent.watched.load(Ordering::SeqCst) > 0
+    });
+    child.kill().expect("it can be ended");
+    child.wait().expect("it can be waited for");
+    let _ = std::fs::remove_file(path);
+}
