Heed signals before the configuration is read

Cause: the handlers were installed in serve() (main.rs), behind reading and checking the configuration, which with a long list or a file that cannot be opened for a moment takes its time; a SIGHUP until then ended the process. Change: they come first.

--- a/src/bin/ivygate/main.rs
+++ b/src/bin/ivygate/main.rs
@@ -14,6 +14,7 @@
 mod request;
 mod server;
 mod shortage;
+mod signals;
 mod socket;
 mod stream;
 mod upstream;
@@ -28,8 +29,8 @@
 use reload::{load_through_trouble, reload_on};
 use request::Reader;
 use server::Server;
+use signals::Signals;
 use std::process::ExitCode;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 use upstream::Upstream;
@@ -67,7 +68,16 @@
 }
 
 fn start() -> Result<(), Box<dyn std::error::Error>> {
-    let config = load_through_trouble()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, async {
+        let signals = Signals::heed()?;
+        let config = load_through_trouble()?;
+        let gateway = gateway(&config)?;
+        serve(config, gateway, signals).await
+    })
+}
+
+fn gateway(config: &Config) -> Result<Gateway, String> {
     let kept = upstream_sockets(config.sockets) * KEPT_PART.0 / KEPT_PART.1;
     let settings = Settings {
         connection_rest: upstream::REST.as_secs_f64() * 1000.0,
@@ -75,17 +85,12 @@
         clock_error: CLOCK_ERROR,
         ..config.settings.clone()
     };
-    let gateway = Gateway::new(settings, config.seed).map_err(|e| format!("settings: {e}"))?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, serve(config, gateway))
+    Gateway::new(settings, config.seed).map_err(|error| format!("settings: {error}"))
 }
 
-async fn serve(config: Config, gateway: Gateway) -> Result<(), Box<dyn std::error::Error>> {
+async fn serve(config: Config, gateway: Gateway, signals: Signals) -> Result<(), Box<dyn std::error::Error>> {
+    let (mut ending, hangups) = signals.split();
     let upstreams = upstream_sockets(config.sockets);
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    // Asked for before anything else is done: until then a signal would end the process.
-    let hangups = signal(SignalKind::hangup())?;
     let clock = Clock::new();
     let reader = Reader::new(&config.settings, config.bounds);
     let driver = Driver::new(gateway, clock, Upstream::new(config.links, upstreams), config.settings.hedging);
@@ -108,10 +113,7 @@
     }
     let server = Server::new(driver.clone(), reader, config.sockets - reserve(config.sockets) - upstreams);
     let accepting = tokio::task::spawn_local(server.clone().accept(listener));
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    ending.told().await;
     tracing::info!("told to end");
     server.wind_up(accepting).await;
     let unanswered = driver.unanswered();
--- /dev/null
+++ b/src/bin/ivygate/signals.rs
@@ -0,0 +1,46 @@
+//! The signals that a node heeds.
+
+use std::io;
+use tokio::signal::unix::{signal, Signal, SignalKind};
+
+/// What a node is told by signals.
+pub struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangups: Signal,
+}
+
+impl Signals {
+    /// Heeds signals from now on; until then each of them ends the process, so that this comes before all else.
+    ///
+    /// # Errors
+    /// If the system does not let it.
+    pub fn heed() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangups: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Splits off what is heard by others; the rest waits for the word to end.
+    pub fn split(self) -> (Ending, Signal) {
+        (Ending { terminate: self.terminate, interrupt: self.interrupt }, self.hangups)
+    }
+}
+
+/// The word to end.
+pub struct Ending {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Ending {
+    /// Waits for it.
+    pub async fn told(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
