--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
-use std::sync::atomic::Ordering;
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use support::*;
 
@@ -263,3 +266,75 @@
         assert_eq!(node.ask(&request("order", &format!("r{number}"))).status(), 200);
     }
 }
+
+/// Discovery whose every call is answered by a function of its own; gives where it listens.
+fn answered_by(answer: impl Fn(&str, TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let answer = Arc::new(answer);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let answer = answer.clone();
+            std::thread::spawn(move || {
+                let mut stream = BufReader::new(stream);
+                if let Some(call) = read_message(&mut stream) {
+                    answer(&call.start, stream.into_inner());
+                }
+            });
+        }
+    });
+    address
+}
+
+#[test]
+fn a_long_list_that_keeps_coming_is_read_to_its_end() {
+    const PIECES: usize = 24;
+    // No piece is late, and all of them take longer than an answer usually may.
+    const PAUSE: Duration = Duration::from_millis(180);
+    let app = App::start(|_| Reply::ok("x"));
+    let list = listing(1, true, &[target("a", app.address, "north", "SERVING")]);
+    let address = answered_by(move |call, mut stream| {
+        let text = if call.contains("stream=1") {
+            let chunk = format!("{:x}\r\n{list}\n\r\n", list.len() + 1);
+            format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}")
+        } else {
+            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())
+        };
+        for piece in text.as_bytes().chunks(text.len().div_ceil(PIECES)) {
+            if stream.write_all(piece).is_err() {
+                return;
+            }
+            std::thread::sleep(PAUSE);
+        }
+        // A watch goes on.
+        let _ = stream.read(&mut [0]);
+    });
+    let node = Node::start(&config(address, "null", SETTINGS, 1024));
+    assert_eq!(node.ask(&request("read", "r")).body, b"x");
+}
+
+#[test]
+fn changes_told_to_who_holds_no_list_are_no_list() {
+    let app = App::start(|_| Reply::ok("x"));
+    let known = listing(50, true, &[target("a", app.address, "north", "SERVING")]);
+    let old = Discovery::start(known.clone());
+    let node = Node::start(&config(old.address, &known, SETTINGS, 1024));
+    // The new agent knows no server. Its whole list is lost on the way once.
+    let lost = AtomicBool::new(false);
+    let (whole, changes) = (listing(3, true, &[]), listing(3, false, &[]));
+    let address = answered_by(move |call, mut stream| {
+        if call.contains("stream=1") {
+            let chunk = format!("{:x}\r\n{changes}\n\r\n", changes.len() + 1);
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            let _ = stream.write_all(format!("{head}{chunk}").as_bytes());
+            let _ = stream.read(&mut [0]);
+        } else if lost.swap(true, Ordering::SeqCst) {
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", whole.len());
+            let _ = stream.write_all(format!("{head}{whole}").as_bytes());
+        }
+    });
+    let begun = Instant::now();
+    node.reload(&config(address, "null", SETTINGS, 1024));
+    until("the server that is on no list any more is forgotten", || node.up() == Some(503));
+    assert!(begun.elapsed() < Duration::from_secs(6), "{:?}", begun.elapsed());
+}
