Read long lists to their end, and ask for the list where only changes were told

Causes: a list had 2.2 s from the call to its end however it kept coming (Discovery::list and watch, discovery.rs), and where calls are free an answer that took over 600 ms to begin was never waited for; a node that holds no list, or was moved to another agent, took changes told from version 0 for the list, so that what the new agent does not know stayed in use while its watch went on. Changes: the time for an object doubles each time it was too short, up to 5 s; one free call at a time waits for 2.2 s; changes told to who holds no list lead to the whole list.

--- a/src/bin/ivygate/discovery.rs
+++ b/src/bin/ivygate/discovery.rs
@@ -40,6 +40,8 @@
 /// Discovery may be slow in writing one, so that each time this was in vain twice as long is waited, up to this. It
 /// leaves time for a list behind an object that has lost its end.
 const PIECE_MOST: Duration = Duration::from_secs(1);
+/// And a whole object, which has `ANSWER` at first, up to this.
+const WHOLE_MOST: Duration = Duration::from_secs(5);
 
 /// What went wrong with a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,6 +58,8 @@
     Stalled,
     /// The answer is unreadable or too long: the list must be fetched anew.
     Unusable,
+    /// Only changes were told where no list is held: it must be fetched.
+    Partial,
 }
 
 impl Trouble {
@@ -67,6 +71,7 @@
             Trouble::Cut => "cut",
             Trouble::Stalled => "stalled",
             Trouble::Unusable => "unusable",
+            Trouble::Partial => "partial",
         }
     }
 }
@@ -83,6 +88,8 @@
     backoff: Backoff,
     /// How long the next piece of an object is waited for.
     piece: Duration,
+    /// How long an object is waited for from its beginning to its end.
+    whole: Duration,
     /// How long the last answer took to begin.
     answered_in: Cell<Duration>,
     /// The agent that was named last has told something.
@@ -98,6 +105,7 @@
             driver,
             backoff,
             piece: PIECE,
+            whole: ANSWER,
             answered_in: Cell::default(),
             heard: Rc::default(),
             most_targets,
@@ -143,14 +151,14 @@
                         self.note(trouble);
                         sleep(self.backoff.unusable()).await;
                     }
-                    Err(Trouble::Lost | Trouble::Silent) => {}
+                    Err(Trouble::Lost | Trouble::Silent | Trouble::Partial) => {}
                 }
             }
             // A watch brings the list too where fetching it failed, so it is tried all the same.
             let mut news = 0;
             let Err(trouble) = self.watch(agent, &mut rev, &mut news).await;
             self.note(trouble);
-            whole |= matches!(trouble, Trouble::Stalled | Trouble::Unusable);
+            whole |= matches!(trouble, Trouble::Stalled | Trouble::Unusable | Trouble::Partial);
             // Only a watch that has brought more than its first news counts as a success: discovery that
             // accepts and hangs up, as it does when its line is too long, or answers nonsense, is not called
             // in a tight loop.
@@ -163,7 +171,7 @@
                 Trouble::Refused | Trouble::Cut | Trouble::Stalled | Trouble::Unusable => {
                     self.backoff.unusable()
                 }
-                Trouble::Lost | Trouble::Silent => self.backoff.failed(),
+                Trouble::Lost | Trouble::Silent | Trouble::Partial => self.backoff.failed(),
             };
             sleep(wait).await;
         }
@@ -175,20 +183,21 @@
         tracing::debug!(trouble = trouble.name(), "a call to discovery has ended");
         if trouble == Trouble::Stalled {
             self.piece = (self.piece * 2).min(PIECE_MOST);
+            self.whole = (self.whole * 2).min(WHOLE_MOST);
         }
     }
 
     /// Fetches the whole list and gives its version.
     async fn list(&self, agent: SocketAddr) -> Result<u64, Trouble> {
-        let end = Instant::now() + ANSWER;
         let call = self.call(agent, "/discovery/hosts".to_owned());
-        let mut call = timeout_at(end, call).await.map_err(|_| Trouble::Lost)??;
+        let mut call = timeout(ANSWER, call).await.map_err(|_| Trouble::Lost)??;
+        let whole_by = Instant::now() + self.whole;
         let mut reader = ListingReader::new(self.most_targets);
         let mut listed = None;
         while listed.is_none() {
             let begun = reader.begun();
             let silent = if begun { self.piece } else { ANSWER_FREE };
-            let longest = end.min(Instant::now() + silent);
+            let longest = whole_by.min(Instant::now() + silent);
             let data = call.read(longest).await.map_err(|end| match end {
                 ReadError::Silent if begun => Trouble::Stalled,
                 ReadError::Silent | ReadError::Ended => Trouble::Unusable,
@@ -222,12 +231,18 @@
             })?;
             if !begun {
                 *news = news.saturating_add(1);
-                whole_by = Instant::now() + ANSWER;
+                whole_by = Instant::now() + self.whole;
             }
+            let mut partial = false;
             reader.push(&data, |listing| {
+                // Who holds no list learns from changes alone of what there is, and of nothing that has gone.
+                partial |= rev.is_none() && !listing.all;
                 *rev = Some(self.tell(listing));
-                whole_by = Instant::now() + ANSWER;
+                whole_by = Instant::now() + self.whole;
             })?;
+            if partial {
+                return Err(Trouble::Partial);
+            }
         }
     }
 
@@ -241,10 +256,17 @@
         let mut calls = JoinSet::new();
         let mut again = interval(spacing);
         again.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut patient_until = Instant::now();
         loop {
             tokio::select! {
                 _ = again.tick() => {
-                    calls.spawn_local(call_once(agent, path.clone(), answer));
+                    // One of them waits for long, so that an agent that is slow to begin is heard at all.
+                    let patient = Instant::now() >= patient_until;
+                    let longest = if patient { ANSWER } else { answer };
+                    if patient {
+                        patient_until = Instant::now() + longest;
+                    }
+                    calls.spawn_local(call_once(agent, path.clone(), longest));
                 }
                 Some(ended) = calls.join_next() => match ended {
                     Ok(Ok(call)) => {
