--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -138,6 +138,8 @@
     pub clients: u32,
     /// Mean pause of such a client between two requests, in milliseconds.
     pub pause_ms: u64,
+    /// Clients that send several requests in one piece.
+    pub batching_clients: u32,
     /// Bad clients.
     pub bad_clients: u32,
     /// Troubles that are on at once.
@@ -157,6 +159,7 @@
             servers: 12,
             clients: 120,
             pause_ms: 250,
+            batching_clients: 6,
             bad_clients: 6,
             at_once: 4,
             seconds: 20,
--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -88,6 +88,10 @@
     for number in 0..sizes.bad_clients {
         tasks.spawn(world.crowd.clone().bad(StdRng::seed_from_u64(!seed ^ u64::from(number) << 32)));
     }
+    for number in 0..sizes.batching_clients {
+        let rng = StdRng::seed_from_u64(seed.rotate_left(17) ^ u64::from(number) << 32);
+        tasks.spawn(world.crowd.clone().batching(rng));
+    }
     tasks.spawn(look_after(world.clone()));
     sleep(QUIET).await;
     troubles(sizes, &world, &mut rng).await?;
--- a/lab/src/soak/client.rs
+++ b/lab/src/soak/client.rs
@@ -57,6 +57,7 @@
 struct Plan {
     id: String,
     class: RequestClass,
+    customer: u64,
     node: usize,
     text: String,
 }
@@ -73,18 +74,25 @@
 }
 
 impl Crowd {
+    /// A request of any customer, at any node of its set.
     fn plan(&self, rng: &mut StdRng) -> Plan {
-        let number = self.ids.fetch_add(1, Ordering::Relaxed);
-        let class = CLASSES[rng.random_range(0..CLASSES.len())];
-        let capped = rng.random_ratio(1, 6);
-        let customer = if capped {
+        let customer = if rng.random_ratio(1, 6) {
             rng.random_range(0..CAPPED_CUSTOMERS)
         } else {
             CAPPED_CUSTOMERS + rng.random_range(0..CUSTOMERS)
         };
-        let (plan, nodes) = (if capped { "capped" } else { "open" }, self.nodes.len());
+        let nodes = self.nodes.len();
+        let node = (customer as usize + rng.random_range(0..SPREAD.min(nodes))) % nodes;
+        self.plan_of(customer, node, rng)
+    }
+
+    /// A request of a customer at a node of its set.
+    fn plan_of(&self, customer: u64, node: usize, rng: &mut StdRng) -> Plan {
+        let number = self.ids.fetch_add(1, Ordering::Relaxed);
+        let class = CLASSES[rng.random_range(0..CLASSES.len())];
+        let plan = if customer < CAPPED_CUSTOMERS { "capped" } else { "open" };
+        let nodes = self.nodes.len();
         let (spread, first) = (SPREAD.min(nodes), customer as usize % nodes);
-        let node = (first + rng.random_range(0..spread)) % nodes;
         let id = format!("r{number:08x}");
         let (method, key, body) = match class.effect {
             Effect::Safe => ("GET", String::new(), ""),
@@ -100,7 +108,7 @@
             class.name,
             class.wait.as_millis(),
         );
-        Plan { id, class, node, text }
+        Plan { id, class, customer, node, text }
     }
 
     /// A usual client, until the run is over.
@@ -206,6 +214,53 @@
         }
     }
 
+    /// A client that sends several requests in one piece, until the run is over.
+    pub async fn batching(self: Arc<Self>, mut rng: StdRng) {
+        while !self.habits.over.load(Ordering::Relaxed) {
+            sleep(Duration::from_millis(rng.random_range(100..700))).await;
+            let mut plans = vec![self.plan(&mut rng)];
+            let (customer, rank) = (plans[0].customer, plans[0].node);
+            for _ in 0..rng.random_range(1..5) {
+                plans.push(self.plan_of(customer, rank, &mut rng));
+            }
+            let node = self.nodes[rank].clone();
+            if node.admitted() {
+                self.ask_together(&plans, &node).await;
+            }
+        }
+    }
+
+    async fn ask_together(&self, plans: &[Plan], node: &Node) {
+        let life = node.life();
+        let Ok(stream) = TcpStream::connect(node.address).await else {
+            return self.oracle.tally("not connected");
+        };
+        let mut stream = BufReader::new(stream);
+        plans.iter().for_each(|plan| self.oracle.sending(&plan.id, plan.class, node.rank));
+        let all: String = plans.iter().map(|plan| plan.text.as_str()).collect();
+        let written = stream.write_all(all.as_bytes()).await;
+        plans.iter().for_each(|plan| self.oracle.sent(&plan.id));
+        let mut answered = 0;
+        while written.is_ok() && answered < plans.len() {
+            let plan = &plans[answered];
+            let Ok(Ok(Some(answer))) = timeout(plan.class.wait + BEYOND, read_message(&mut stream)).await
+            else {
+                break;
+            };
+            let advice = answer.header("retry-after").is_some();
+            self.oracle.answered(&plan.id, answer.status(), &answer.body, advice);
+            answered += 1;
+        }
+        self.oracle.tally("batches");
+        // What a node has read is answered; of a batch it reads all or nothing.
+        let sent_on = plans.iter().any(|plan| self.oracle.has_arrived(&plan.id));
+        if answered < plans.len() && !node.was_killed(life) && (answered > 0 || sent_on) {
+            let (count, rank) = (plans.len(), node.rank);
+            let what = format!("{answered} of {count} from {} at node {rank}", plans[0].id);
+            self.oracle.violation(Rule::FinalAnswer, what);
+        }
+    }
+
     /// A bad client, until the run is over.
     pub async fn bad(self: Arc<Self>, mut rng: StdRng) {
         while !self.habits.over.load(Ordering::Relaxed) {
