--- /dev/null
+++ b/src/bin/ivygate/driver/message.rs
@@ -0,0 +1,73 @@
+//! What clients ask and what they are answered, as it passes through the driver.
+
+use crate::request::Head;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, Method, Request, Uri};
+use ivygate::Millis;
+
+/// A header whose value this node alone sets.
+const DEADLINE: &str = "req-deadline";
+
+/// A client's request, read and checked.
+pub struct Ask {
+    /// What its head says.
+    pub head: Head,
+    /// When the client gives up.
+    pub deadline: Millis,
+    /// What goes on to an app server, unchanged.
+    pub message: Message,
+}
+
+/// A request as it goes on to an app server.
+pub struct Message {
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// Its headers, without those that belong to the client's connection.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl Message {
+    /// The message with the time that is left, in milliseconds, for one attempt.
+    pub fn request(&self, left: Millis) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        let left = format!("{}u", (left * 1000.0) as u64);
+        if let Ok(left) = HeaderValue::try_from(left) {
+            request.headers_mut().insert(DEADLINE, left);
+        }
+        request
+    }
+}
+
+/// The one final answer to a request.
+#[derive(Debug)]
+pub enum Answer {
+    /// Served, with the app server's body and its type.
+    Served(Bytes, Option<HeaderValue>),
+    /// Refused; the client should stay away this long, or is told nothing if it is 0.
+    Refused(Millis),
+    /// Failed.
+    Failed,
+    /// Failed because the time was up.
+    TimeUp,
+}
+
+impl Answer {
+    /// A word for it, for logs and counters.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Answer::Served(..) => "served",
+            Answer::Refused(_) => "refused",
+            Answer::Failed => "failed",
+            Answer::TimeUp => "time_up",
+        }
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -58,6 +58,7 @@
         }
     }
     let figures = [
+        ("clock_error", settings.clock_error),
         ("cold_from", settings.cold_from),
         ("warm_after", settings.warm_after),
         ("fall_multiple", settings.fall_multiple),
