--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -506,6 +506,16 @@
 
     /// Starts a node by a command that is made ready by `prepare`, and waits until it listens.
     pub fn spawn_with(config: &str, prepare: impl FnOnce(&mut Command)) -> Self {
+        let (node, mut lines) = Self::spawn_unread(config, prepare);
+        std::thread::spawn(move || std::io::copy(&mut lines, &mut std::io::sink()));
+        node
+    }
+
+    /// The same, and leaves what it writes to standard error to be read or not.
+    pub fn spawn_unread(
+        config: &str,
+        prepare: impl FnOnce(&mut Command),
+    ) -> (Self, BufReader<std::process::ChildStderr>) {
         let path = scratch(config);
         let mut command = Command::new(env!("CARGO_BIN_EXE_ivygate"));
         command.env("RELAY_CONFIG", &path).stderr(Stdio::piped());
@@ -516,8 +526,7 @@
         lines.read_line(&mut line).expect("it says where it listens");
         let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
         let address = address.unwrap_or_else(|| panic!("no address in '{line}'"));
-        std::thread::spawn(move || std::io::copy(&mut lines, &mut std::io::sink()));
-        Self { address, config: path, child }
+        (Self { address, config: path, child }, lines)
     }
 
     /// What it says of its being up.
--- a/tests/syscalls.rs
+++ b/tests/syscalls.rs
@@ -160,3 +160,22 @@
     }
     until("its list is in force", || node.ask(&request("read", "r")).body == b"new");
 }
+
+#[test]
+fn a_log_that_nobody_reads_holds_nothing_up() {
+    // Far more lines than a pipe holds.
+    const REQUESTS: usize = 1_500;
+    let app = App::start(|request| Reply::ok(&id_of(request)));
+    let list = listing(1, true, &[target("a", app.address, "north", "SERVING")]);
+    let discovery = Discovery::start(list.clone());
+    let (node, unread) = Node::spawn_unread(&config(discovery.address, &list, SETTINGS, 1024), |command| {
+        command.env("RELAY_LOG", "debug");
+    });
+    until("the node is up", || node.up() == Some(200));
+    let mut client = node.client();
+    for number in 0..REQUESTS {
+        let id = format!("r{number}");
+        assert_eq!(client.ask(&request("order", &id)).body, id.as_bytes());
+    }
+    drop(unread);
+}
