--- a/src/bin/ivygate/server.rs
+++ b/src/bin/ivygate/server.rs
@@ -301,14 +301,19 @@
         };
         // Guards against what may lie behind a request that was not read to its end or by its own rules, and
         // against a client that goes on with more of the kind at full speed.
-        // What has been read is answered, also by a node that ends: its connection is closed once it rests.
-        let more = inbound.has_news() || inbound.read() >= client.consumed.get() + NEXT_LEAST;
-        if (self.ending.get() && !more) || !stays || inbound.overrun() {
+        if self.leaves(client, inbound) || !stays || inbound.overrun() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
     }
 
+    /// Whether the node ends, and the client is told to leave with its answer. What has been read beyond that request
+    /// is answered first: such a connection is closed once it rests.
+    fn leaves(&self, client: &Client, inbound: &Inbound) -> bool {
+        let more = || inbound.has_news() || inbound.read() >= client.consumed.get() + NEXT_LEAST;
+        self.ending.get() && !more()
+    }
+
     fn up(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
         if request.method() != Method::GET {
             return plain(StatusCode::METHOD_NOT_ALLOWED, "only GET");
