Answer all that came together on a connection chosen to close

Cause: Server::serve (server.rs) shut a connection down in good order where the word to close came while a request was open; hyper then closes behind that answer and drops what it has read beyond it. Seen in the soak where idle crowds make a held-up node choose connections whose first request it has not read yet. Change: the open request's answer tells the client to leave only if nothing more was read; a connection that rests with more in hyper's hands is not closed.

--- a/src/bin/ivygate/inbound.rs
+++ b/src/bin/ivygate/inbound.rs
@@ -38,6 +38,8 @@
     arrived: Cell<Instant>,
     /// Bytes that hyper has read.
     read: Cell<u64>,
+    /// hyper has asked for more since, so that it holds no whole request.
+    drained: Cell<bool>,
     /// More came than is kept.
     overrun: Cell<bool>,
     /// Called when hyper has read something.
@@ -53,6 +55,7 @@
             came: RefCell::default(),
             arrived: Cell::new(Instant::now()),
             read: Cell::default(),
+            drained: Cell::default(),
             overrun: Cell::default(),
             on_read: Box::new(on_read),
         }))
@@ -73,6 +76,12 @@
         self.0.read.get()
     }
 
+    /// Whether hyper has asked for more than there is since it last read something, which it does once it holds no
+    /// whole request.
+    pub fn drained(&self) -> bool {
+        self.0.drained.get()
+    }
+
     /// Whether the client has ended its sending or the connection has broken, whatever was read ahead.
     pub fn is_over(&self) -> bool {
         has_ended(self.0.stream.borrow().get_ref())
@@ -157,12 +166,17 @@
         } else {
             match Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf) {
                 Poll::Ready(Ok(())) => self.0.arrived.set(Instant::now()),
-                other => return other,
+                Poll::Pending => {
+                    self.0.drained.set(true);
+                    return Poll::Pending;
+                }
+                failed => return failed,
             }
         }
         let read = buf.filled().len() - before;
         if read > 0 {
             self.0.read.set(self.0.read.get() + read as u64);
+            self.0.drained.set(false);
             (self.0.on_read)();
         }
         Poll::Ready(Ok(()))
--- a/src/bin/ivygate/server.rs
+++ b/src/bin/ivygate/server.rs
@@ -240,11 +240,10 @@
             }
             let (phase, served) = (client.phase.get(), client.served.get());
             match phase {
-                // The word came too late: a request has come in whole meanwhile, and is answered.
-                Phase::Open => {
-                    connection.as_mut().graceful_shutdown();
-                    continue;
-                }
+                // The word came too late: a request has come in whole meanwhile, and is answered, as are those that
+                // came with it. The last of them is answered with the word to leave.
+                Phase::Open => continue,
+                Phase::Idle if has_more(&client, &inbound) => continue,
                 // What lies in the kernel's buffer has come, though hyper has not seen it: it may be the rest of a
                 // request, or one on a connection that rested.
                 Phase::Reading | Phase::Idle if inbound.has_news() || client.is_silent() => {
@@ -307,11 +306,10 @@
         Ok(response)
     }
 
-    /// Whether the node ends, and the client is told to leave with its answer. What has been read beyond that request
-    /// is answered first: such a connection is closed once it rests.
+    /// Whether the client is told to leave with its answer: the node ends, or its place is needed. What has been read
+    /// beyond that request is answered first, and the connection closed once it rests.
     fn leaves(&self, client: &Client, inbound: &Inbound) -> bool {
-        let more = || inbound.has_news() || inbound.read() >= client.consumed.get() + NEXT_LEAST;
-        self.ending.get() && !more()
+        (self.ending.get() || client.leaving.get()) && !has_more(client, inbound) && !inbound.has_news()
     }
 
     fn up(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
@@ -374,6 +372,16 @@
     }
 }
 
+/// Whether hyper holds more than the requests that it has handed on: the beginning of a next one, or all of it.
+fn has_more(client: &Client, inbound: &Inbound) -> bool {
+    if inbound.drained() {
+        // Requests are not all written as their length is reckoned here.
+        client.consumed.set(inbound.read());
+        return false;
+    }
+    inbound.read() >= client.consumed.get() + NEXT_LEAST
+}
+
 /// Goes on with a client's connection; ready once it has ended, or nobody waits for its open request any more.
 fn poll_end<C: Future>(
     connection: Pin<&mut C>,
