--- a/tests/syscalls.rs
+++ b/tests/syscalls.rs
@@ -179,3 +179,34 @@
     }
     drop(unread);
 }
+
+#[test]
+fn a_request_that_waited_to_be_accepted_is_told_the_time_that_its_client_has_left() {
+    const WAITED: Duration = Duration::from_millis(700);
+    const WAIT_MS: f64 = 5_000.0;
+    const SLACK_MS: f64 = 150.0;
+    let faults = Faults::new().expect("a control file");
+    let (app, node) = node(&faults);
+    faults.fail_often(Point::Accept, 1000, errno::ENFILE).expect("it is set");
+    let begun = Instant::now();
+    let mut clients: Vec<_> = (0..3).map(|_| node.client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.write(request_with("order", &format!("r{number}"), "large", "5000m").as_bytes());
+    }
+    until("they have waited", || begun.elapsed() >= WAITED);
+    faults.heal().expect("it is set");
+    for client in &mut clients {
+        client.read().expect("an answer");
+    }
+    for request in &*app.requests.lock().expect("no panic") {
+        let told = request.header("req-deadline").and_then(|told| told.strip_suffix('u'));
+        let told_ms = told.and_then(|told| told.parse::<f64>().ok()).expect("microseconds") / 1_000.0;
+        assert!(told_ms <= WAIT_MS - WAITED.as_secs_f64() * 1_000.0 + SLACK_MS, "{told_ms} ms");
+    }
+    assert!(app.seen() > 0);
+    // Who comes later has all of its time.
+    assert_eq!(node.ask(&request_with("order", "late", "large", "5000m")).body, b"late");
+    let requests = app.requests.lock().expect("no panic");
+    let told = requests.last().and_then(|last| last.header("req-deadline")?.strip_suffix('u'));
+    assert!(told.and_then(|told| told.parse::<f64>().ok()).expect("microseconds") >= 4_800_000.0);
+}
