Count a client's time from when accepting began to fail, for what waited meanwhile

Cause: a request's time was counted from when its bytes were read (server.rs, inbound.rs); while accept failed (ENFILE, ENOBUFS) it had waited in the kernel's queue, and its server was told that much too much. Change: what lies to be read on connections accepted behind a failure, until the queue is empty, counts as come with the first failure.

--- a/src/bin/ivygate/accept.rs
+++ b/src/bin/ivygate/accept.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::time::Duration;
 use tokio::task::yield_now;
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 
 /// Pause after a failure for want of descriptors or memory, which do not come back at once.
 pub const SHORTAGE_PAUSE: Duration = Duration::from_millis(20);
@@ -19,12 +19,20 @@
 #[derive(Default)]
 pub struct AcceptFailures {
     in_a_row: u32,
+    /// When the first of them was; what is accepted until the queue is empty may have waited since.
+    since: Option<Instant>,
 }
 
 impl AcceptFailures {
-    /// A connection was accepted.
-    pub fn succeeded(&mut self) {
+    /// A connection was accepted; tells since when it may have waited in the queue, if that is not now.
+    pub fn succeeded(&mut self) -> Option<Instant> {
         self.in_a_row = 0;
+        self.since
+    }
+
+    /// Nothing is left in the queue.
+    pub fn queue_is_empty(&mut self) {
+        self.since = None;
     }
 
     /// Waits until it is worth to try again. Most errors are those of one connection, which is gone by now
@@ -32,6 +40,7 @@
     /// asked for at once.
     pub async fn wait(&mut self, error: &io::Error) {
         self.in_a_row += 1;
+        self.since.get_or_insert_with(Instant::now);
         METRICS.accept_failed(if is_shortage(error) { "shortage" } else { "connection" });
         if is_shortage(error) {
             tracing::warn!(%error, "no connection can be accepted");
--- a/src/bin/ivygate/inbound.rs
+++ b/src/bin/ivygate/inbound.rs
@@ -36,6 +36,8 @@
     came: RefCell<VecDeque<(usize, Instant)>>,
     /// When the last byte came that hyper has read.
     arrived: Cell<Instant>,
+    /// When what was there at first may have come, until it has been read.
+    waited_since: Cell<Option<Instant>>,
     /// Bytes that hyper has read.
     read: Cell<u64>,
     /// hyper has asked for more since, so that it holds no whole request.
@@ -47,13 +49,16 @@
 }
 
 impl Inbound {
-    /// A stream that calls `on_read` whenever hyper has read something of it.
-    pub fn new(stream: TcpStream, on_read: impl Fn() + 'static) -> Self {
+    /// A stream that calls `on_read` whenever hyper has read something of it. What lies there to be read already may
+    /// have come at `since`, if that is known.
+    pub fn new(stream: TcpStream, since: Option<Instant>, on_read: impl Fn() + 'static) -> Self {
+        let waited_since = since.filter(|_| has_news(&stream));
         Self(Rc::new(Shared {
             stream: RefCell::new(ResilientStream::new(stream)),
             ahead: RefCell::default(),
             came: RefCell::default(),
             arrived: Cell::new(Instant::now()),
+            waited_since: Cell::new(waited_since),
             read: Cell::default(),
             drained: Cell::default(),
             overrun: Cell::default(),
@@ -165,7 +170,9 @@
             return Poll::Ready(Ok(()));
         } else {
             match Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf) {
-                Poll::Ready(Ok(())) => self.0.arrived.set(Instant::now()),
+                Poll::Ready(Ok(())) => {
+                    self.0.arrived.set(self.0.waited_since.take().unwrap_or_else(Instant::now));
+                }
                 Poll::Pending => {
                     self.0.drained.set(true);
                     return Poll::Pending;
--- a/src/bin/ivygate/server.rs
+++ b/src/bin/ivygate/server.rs
@@ -107,8 +107,11 @@
                 () = self.freed.notified(), if full => {}
                 accepted = listener.accept(), if !full => match accepted {
                     Ok((stream, _)) => {
-                        failures.succeeded();
-                        self.take(stream);
+                        let since = failures.succeeded();
+                        self.take(stream, since);
+                        if since.is_some() {
+                            self.accept_waiting(&listener, &mut failures);
+                        }
                     }
                     Err(error) => failures.wait(&error).await,
                 },
@@ -121,6 +124,17 @@
         }
     }
 
+    /// Accepts what has waited in the kernel's queue while accepting failed, up to the bound or the next failure.
+    fn accept_waiting(self: &Rc<Self>, listener: &TcpListener, failures: &mut AcceptFailures) {
+        while self.clients.borrow().len() < self.most {
+            match accept_now(listener) {
+                Ok(stream) => self.take(stream, failures.succeeded()),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return failures.queue_is_empty(),
+                Err(_) => return,
+            }
+        }
+    }
+
     /// Accepts what waits in the kernel's queue: what the machine has accepted by now counts as taken. Asked past
     /// tokio, which may not have heard yet.
     async fn accept_rest(self: &Rc<Self>, listener: &TcpListener) {
@@ -132,10 +146,7 @@
                 continue;
             }
             match accept_now(listener) {
-                Ok(stream) => {
-                    failures.succeeded();
-                    self.take(stream);
-                }
+                Ok(stream) => self.take(stream, failures.succeeded()),
                 // None is left.
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                 Err(error) => failures.wait(&error).await,
@@ -201,7 +212,8 @@
         }
     }
 
-    fn take(self: &Rc<Self>, stream: TcpStream) {
+    /// Serves a connection; `since` says since when it may have waited to be accepted, if that is not now.
+    fn take(self: &Rc<Self>, stream: TcpStream, since: Option<Instant>) {
         let number = self.next.get();
         self.next.set(number + 1);
         let client = Rc::new(Client::new());
@@ -211,14 +223,14 @@
             let server = registered.server.clone();
             // A socket that takes no options is broken, which the first read will tell as well.
             let _ = stream.set_nodelay(true);
-            server.serve(stream, client).await;
+            server.serve(stream, client, since).await;
             drop(registered);
         });
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream, client: Rc<Client>) {
+    async fn serve(self: Rc<Self>, stream: TcpStream, client: Rc<Client>, since: Option<Instant>) {
         let reader = client.clone();
-        let inbound = Inbound::new(stream, move || {
+        let inbound = Inbound::new(stream, since, move || {
             reader.reading();
         });
         let service = service_fn(|request| {
--- a/src/bin/ivygate/server/tests.rs
+++ b/src/bin/ivygate/server/tests.rs
@@ -74,7 +74,7 @@
 async fn an_idle_connection_is_not_closed_over_a_request_that_only_the_kernel_knows_of() {
     let test = async {
         let (server, listener, mut client) = server().await;
-        server.take(listener.accept().await.expect("it is accepted").0);
+        server.take(listener.accept().await.expect("it is accepted").0, None);
         ask(&mut client);
         assert_eq!(status(&mut client).await, "HTTP/1.1 503 Service Unavailable");
         let known = server.clients.borrow().values().next().expect("a client").clone();
@@ -93,7 +93,7 @@
 async fn a_request_is_not_cut_off_over_its_end_that_only_the_kernel_knows_of() {
     let test = async {
         let (server, listener, mut client) = server().await;
-        server.take(listener.accept().await.expect("it is accepted").0);
+        server.take(listener.accept().await.expect("it is accepted").0, None);
         let request = b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n";
         client.write_all(&request[..10]).expect("it is written");
         let known = server.clients.borrow().values().next().expect("a client").clone();
@@ -127,7 +127,7 @@
         let list = format!(r#"{{"rev":1,"all":true,"targets":[{target}]}}"#);
         server.driver.list(serde_json::from_str(&list).expect("a list"));
         tokio::task::spawn_local(server.driver.clone().run_timers());
-        server.take(listener.accept().await.expect("it is accepted").0);
+        server.take(listener.accept().await.expect("it is accepted").0, None);
         let request = |number: usize| {
             format!(
                 "GET /api HTTP/1.1\r\nHost: h\r\nReq-Id: r{number}\r\nReq-Kind: read\r\nApi-Plan: large\r\n\
