--- a/tests/syscalls.rs
+++ b/tests/syscalls.rs
@@ -71,6 +71,25 @@
     }
 }
 
+#[test]
+fn short_writes_hold_up_no_answer_to_requests_that_came_together() {
+    const REQUESTS: usize = 12;
+    let faults = Faults::new().expect("a control file");
+    let (_app, node) = node(&faults);
+    faults.fail_often(Point::ShortSend, 500, 9).expect("it is set");
+    for batch in 0..5 {
+        let mut client = node.client();
+        let id = |number: usize| format!("r{batch}-{number}");
+        // One behind another, so that nothing is heard of the client between two answers.
+        let all: String = (0..REQUESTS).map(|number| request("order", &id(number))).collect();
+        client.write(all.as_bytes());
+        for number in 0..REQUESTS {
+            let answer = client.read().unwrap_or_else(|| panic!("no answer to {}", id(number)));
+            assert_eq!(answer.body, id(number).as_bytes());
+        }
+    }
+}
+
 #[test]
 fn connections_aborted_before_they_are_accepted_keep_no_other_waiting() {
     const ABORTED: u32 = 200;
