--- a/src/bin/ivygate/stream.rs
+++ b/src/bin/ivygate/stream.rs
@@ -20,7 +20,7 @@
     stream: TcpStream,
     /// The last read was short: there may be more.
     read_was_short: bool,
-    /// The last write was short: more may be taken.
+    /// A write was short, and the socket has not been full since: more may be taken.
     write_was_short: bool,
 }
 
@@ -90,7 +90,9 @@
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         if std::mem::take(&mut self.write_was_short) {
             if let Some(written) = self.write_now(bytes) {
-                self.write_was_short = written.as_ref().is_ok_and(|written| *written < bytes.len());
+                // The runtime has not heard of this, and still takes the socket for full: until it really is, which
+                // the system tells of when it ends, the socket itself is asked.
+                self.write_was_short = true;
                 return Poll::Ready(written);
             }
         }
