--- a/lab/src/soak/node.rs
+++ b/lab/src/soak/node.rs
@@ -27,6 +27,8 @@
 const KILLED_AFTER: Duration = Duration::from_millis(3_700);
 /// The front sends to a node for so long after it was told to end.
 const FRONT_LATE: Duration = Duration::from_millis(300);
+/// Least time between two times for which a node is held up.
+const BETWEEN_HOLDS: Duration = Duration::from_millis(400);
 /// Time between two looks at a process.
 const LOOK: Duration = Duration::from_millis(20);
 /// Most of one core that a node may use in the mean.
@@ -67,6 +69,8 @@
     killed: AtomicU64,
     /// It is being told to end or started again; nobody else may.
     busy: tokio::sync::Mutex<()>,
+    /// It is being held up, or was a moment ago.
+    held: tokio::sync::Mutex<()>,
     process: Mutex<Option<(Child, Instant)>>,
     fleet: Arc<Fleet>,
     oracle: Arc<Oracle>,
@@ -93,6 +97,7 @@
             life: AtomicU64::new(0),
             killed: AtomicU64::new(0),
             busy: tokio::sync::Mutex::default(),
+            held: tokio::sync::Mutex::default(),
             process: Mutex::default(),
             fleet,
             oracle,
@@ -275,11 +280,13 @@
         Ok(())
     }
 
-    /// Keeps it from running for a while.
+    /// Keeps it from running for a while; never twice in a row, which would be one longer time.
     pub async fn hold_up(&self, time: Duration) {
+        let Ok(_held) = self.held.try_lock() else { return };
         self.signal(Signal::SIGSTOP);
         sleep(time).await;
         self.signal(Signal::SIGCONT);
+        sleep(BETWEEN_HOLDS).await;
     }
 
     /// Looks whether its process has ended unasked, and starts it again if so.
