--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -165,7 +165,7 @@
             let trouble = TROUBLES[rng.random_range(0..TROUBLES.len())];
             let time = Duration::from_millis(rng.random_range(400..2_500));
             let seed = rng.random();
-            tracing::debug!(?trouble, ?time, "trouble");
+            tracing::info!(?trouble, ?time, "trouble");
             on.spawn(world.clone().befall(trouble, time, StdRng::seed_from_u64(seed)));
         }
         if let Some(ended) = on.join_next().await {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::net::TcpStream;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use support::*;
 
@@ -114,3 +116,32 @@
     until("the list is taken", || node.ask(&wide("w2")).body == b"old");
     assert!(node.memory() < 32 << 10, "{} KB", node.memory());
 }
+
+#[test]
+fn a_request_that_waited_for_room_is_told_no_more_time_than_its_client_has_left() {
+    const WAIT_MS: f64 = 5_000.0;
+    const SLACK_MS: f64 = 150.0;
+    let came: Arc<Mutex<Vec<(Instant, Message)>>> = Arc::default();
+    let seen = came.clone();
+    let app = App::start(move |request| {
+        seen.lock().expect("no panic").push((Instant::now(), request.clone()));
+        Reply::ok("x")
+    });
+    let list = listing(1, true, &[target("a", app.address, "north", "SERVING")]);
+    let discovery = Discovery::start(list.clone());
+    let node = Node::start(&config(discovery.address, &list, SETTINGS, 64));
+    for round in 0..6 {
+        // More than the node takes; some wait in the kernel's queue, and the client behind them.
+        let crowd: Vec<_> = (0..60).filter_map(|_| TcpStream::connect(node.address).ok()).collect();
+        let mut client = node.client();
+        let sent = Instant::now();
+        client.write(request_with("order", &format!("r{round}"), "large", "5000m").as_bytes());
+        assert_eq!(client.read().expect("an answer").status(), 200);
+        let (at, request) = came.lock().expect("no panic").last().expect("a request").clone();
+        let told = request.header("req-deadline").and_then(|told| told.strip_suffix('u'));
+        let told_ms = told.and_then(|told| told.parse::<f64>().ok()).expect("microseconds") / 1_000.0;
+        let waited_ms = (at - sent).as_secs_f64() * 1_000.0;
+        assert!(told_ms <= WAIT_MS - waited_ms + SLACK_MS, "{told_ms} ms told after {waited_ms} ms");
+        drop(crowd);
+    }
+}
