Count a client's time from when there was no room, for what waited for some

Cause: as with failed accepts, a connection that waited in the kernel's queue while the node was at its bound was taken for just come; its server was told up to 290 ms too much. Change: until the queue is empty, what lies to be read on connections accepted behind the bound counts as come when it was reached, a second ago at the most.

--- a/src/bin/ivygate/accept.rs
+++ b/src/bin/ivygate/accept.rs
@@ -15,24 +15,43 @@
 /// That pause.
 const BURST_PAUSE: Duration = Duration::from_millis(1);
 
+/// Where there is no room for a connection, others make some within about this time.
+const ROOM_WITHIN: Duration = Duration::from_secs(1);
+
+/// The instant so long ago, as far as the clock goes back.
+fn now_less(time: Duration) -> Instant {
+    let now = Instant::now();
+    now.checked_sub(time).unwrap_or(now)
+}
+
 /// Failures to accept since the last success.
 #[derive(Default)]
 pub struct AcceptFailures {
     in_a_row: u32,
     /// When the first of them was; what is accepted until the queue is empty may have waited since.
     since: Option<Instant>,
+    /// Since when the bound on connections has kept others waiting.
+    full_since: Option<Instant>,
 }
 
 impl AcceptFailures {
     /// A connection was accepted; tells since when it may have waited in the queue, if that is not now.
     pub fn succeeded(&mut self) -> Option<Instant> {
         self.in_a_row = 0;
-        self.since
+        let full = self.full_since.map(|since| since.max(now_less(ROOM_WITHIN)));
+        // The earlier of the two, if there are both.
+        self.since.into_iter().chain(full).min()
+    }
+
+    /// There is no room for a further connection.
+    pub fn full(&mut self) {
+        self.full_since.get_or_insert_with(Instant::now);
     }
 
     /// Nothing is left in the queue.
     pub fn queue_is_empty(&mut self) {
         self.since = None;
+        self.full_since = None;
     }
 
     /// Waits until it is worth to try again. Most errors are those of one connection, which is gone by now
--- a/src/bin/ivygate/server.rs
+++ b/src/bin/ivygate/server.rs
@@ -103,6 +103,9 @@
             // kernel's queue until one ends.
             self.make_room();
             let full = self.clients.borrow().len() >= self.most;
+            if full {
+                failures.full();
+            }
             tokio::select! {
                 () = self.freed.notified(), if full => {}
                 accepted = listener.accept(), if !full => match accepted {
@@ -142,6 +145,7 @@
         loop {
             self.make_room();
             if self.clients.borrow().len() >= self.most {
+                failures.full();
                 let _ = timeout(SHORTAGE_PAUSE, self.freed.notified()).await;
                 continue;
             }
