--- a/lab/src/soak/discovery.rs
+++ b/lab/src/soak/discovery.rs
@@ -251,7 +251,9 @@
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len());
             stream.write_all(head.as_bytes()).await?;
             self.write_object(&mut stream, text.as_bytes()).await?;
-            self.written(&told);
+            if !is_closed(&stream) {
+                self.written(&told);
+            }
             return Ok(());
         }
         let index = call.start.split("index=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
@@ -279,6 +281,9 @@
                     let text = format!("{listing}\n");
                     let chunk = format!("{:x}\r\n{text}\r\n", text.len());
                     self.write_object(stream, chunk.as_bytes()).await?;
+                    if is_closed(stream) {
+                        return Ok(());
+                    }
                     self.written(&told);
                     since = rev;
                 }
@@ -302,3 +307,8 @@
         stream.write_all(second).await
     }
 }
+
+/// Whether the node has ended its side: what is written then is taken by the system and heard by nobody.
+fn is_closed(stream: &TcpStream) -> bool {
+    matches!(stream.try_read(&mut [0]), Ok(0))
+}
