--- a/src/bin/ivygate/clock.rs
+++ b/src/bin/ivygate/clock.rs
@@ -23,8 +23,26 @@
         self.start_ms + self.start.elapsed().as_secs_f64() * 1000.0
     }
 
-    /// The instant of a time; one that has passed before the start is the start.
+    /// The instant of a time, however long the clock has run; one that has passed already is now, and none is more
+    /// than a day off.
     pub fn instant(&self, at: Millis) -> Instant {
-        self.start + millis(at - self.start_ms)
+        Instant::now() + millis(at - self.now())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+    use tokio::time::advance;
+
+    #[tokio::test(start_paused = true)]
+    async fn a_time_to_come_is_to_come_however_long_the_clock_has_run() {
+        const MONTH: Duration = Duration::from_secs(30 * 86_400);
+        let clock = Clock::new();
+        advance(MONTH).await;
+        let due = clock.instant(clock.now() + 500.0);
+        let wait = due.saturating_duration_since(Instant::now());
+        assert!((490..=510).contains(&wait.as_millis()), "{wait:?}");
     }
 }
--- a/src/bin/ivygate/discovery.rs
+++ b/src/bin/ivygate/discovery.rs
@@ -1,12 +1,14 @@
 //! The list of app servers: starts from what is known, lists, watches, and comes back after failures.
 
 use crate::driver::Driver;
+use crate::stream::ResilientStream;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use ivygate::{Backoff, Listing, ListingReader, Unreadable, ANSWER, SOON_MOST, TOLD};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,6 +24,10 @@
 const ANSWER_FREE: Duration = Duration::from_millis(600);
 /// ... and another is made beside it after this time, well within the grace for a drain.
 const AGAIN_FREE: Duration = Duration::from_millis(150);
+/// An agent that was seen to take longer to answer has several times that time: else it would be kept busy with calls
+/// that were given up. Whoever answers at once, or not at all, is called as often as before.
+const AGAIN_FACTOR: u32 = 2;
+const ANSWER_FACTOR: u32 = 4;
 /// A watch has an empty line every 2 s; one that is silent for half as long again is dead without having said
 /// so. What a silent watch misses counts as told after 6 s: the rest is for opening the next one.
 const SILENCE: Duration = Duration::from_secs(3);
@@ -30,6 +36,9 @@
 /// An object is written in one piece, on one line or on several. One that stops half way for this long has
 /// lost its end, and what comes next would be read as the rest of it.
 const PIECE: Duration = Duration::from_millis(250);
+/// Discovery may be slow in writing one, so that each time this was in vain twice as long is waited, up to this. It
+/// leaves time for a list behind an object that has lost its end.
+const PIECE_MOST: Duration = Duration::from_secs(1);
 
 /// What went wrong with a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,7 +51,9 @@
     Refused,
     /// The answer ended within an object.
     Cut,
-    /// The answer stopped within an object, or is unreadable or too long: the list must be fetched anew.
+    /// The answer stopped within an object: it has lost its end, or comes slowly. The list must be fetched anew.
+    Stalled,
+    /// The answer is unreadable or too long: the list must be fetched anew.
     Unusable,
 }
 
@@ -56,6 +67,12 @@
 pub struct Discovery {
     driver: Rc<Driver>,
     backoff: Backoff,
+    /// How long the next piece of an object is waited for.
+    piece: Duration,
+    /// How long the last answer took to begin.
+    answered_in: Cell<Duration>,
+    /// The agent that was named last has told something.
+    heard: Rc<Cell<bool>>,
     /// Most entries that are believed in one list.
     most_targets: usize,
 }
@@ -63,7 +80,14 @@
 impl Discovery {
     /// One that has not called yet.
     pub fn new(driver: Rc<Driver>, backoff: Backoff, most_targets: usize) -> Self {
-        Self { driver, backoff, most_targets }
+        Self {
+            driver,
+            backoff,
+            piece: PIECE,
+            answered_in: Cell::default(),
+            heard: Rc::default(),
+            most_targets,
+        }
     }
 
     /// Runs for as long as the node does, and calls the agent that was named last. `known` is the version of
@@ -72,9 +96,11 @@
         let mut rev = known;
         loop {
             let agent = *agents.borrow_and_update();
+            self.heard.set(false);
+            let heard = self.heard.clone();
             tokio::select! {
                 () = self.follow_one(agent, rev) => {}
-                changed = agents.changed() => if changed.is_err() {
+                moved = named_anew(&mut agents, agent, &heard) => if moved.is_err() {
                     // None will be named any more, so the last one is followed to the end.
                     self.follow_one(agent, None).await;
                 }
@@ -97,7 +123,10 @@
                         whole = false;
                     }
                     // A watch would bring the same list at once.
-                    Err(Trouble::Refused | Trouble::Cut | Trouble::Unusable) => {
+                    Err(
+                        trouble @ (Trouble::Refused | Trouble::Cut | Trouble::Stalled | Trouble::Unusable),
+                    ) => {
+                        self.note(trouble);
                         sleep(self.backoff.unusable()).await;
                     }
                     Err(Trouble::Lost | Trouble::Silent) => {}
@@ -106,7 +135,8 @@
             // A watch brings the list too where fetching it failed, so it is tried all the same.
             let mut news = 0;
             let Err(trouble) = self.watch(agent, &mut rev, &mut news).await;
-            whole |= trouble == Trouble::Unusable;
+            self.note(trouble);
+            whole |= matches!(trouble, Trouble::Stalled | Trouble::Unusable);
             // Only a watch that has brought more than its first news counts as a success: discovery that
             // accepts and hangs up, as it does when its line is too long, or answers nonsense, is not called
             // in a tight loop.
@@ -116,24 +146,38 @@
             }
             let wait = match trouble {
                 Trouble::Silent if stood => self.backoff.soon(),
-                Trouble::Refused | Trouble::Cut | Trouble::Unusable => self.backoff.unusable(),
+                Trouble::Refused | Trouble::Cut | Trouble::Stalled | Trouble::Unusable => {
+                    self.backoff.unusable()
+                }
                 Trouble::Lost | Trouble::Silent => self.backoff.failed(),
             };
             sleep(wait).await;
         }
     }
 
+    /// Learns from what went wrong how long a piece may take.
+    fn note(&mut self, trouble: Trouble) {
+        tracing::debug!(?trouble, "a call to discovery has ended");
+        if trouble == Trouble::Stalled {
+            self.piece = (self.piece * 2).min(PIECE_MOST);
+        }
+    }
+
     /// Fetches the whole list and gives its version.
     async fn list(&self, agent: SocketAddr) -> Result<u64, Trouble> {
         let end = Instant::now() + ANSWER;
-        let call = call(agent, "/discovery/hosts".to_owned(), self.backoff.free());
+        let call = self.call(agent, "/discovery/hosts".to_owned());
         let mut call = timeout_at(end, call).await.map_err(|_| Trouble::Lost)??;
         let mut reader = ListingReader::new(self.most_targets);
         let mut listed = None;
         while listed.is_none() {
-            let silent = if reader.begun() { PIECE } else { ANSWER_FREE };
+            let begun = reader.begun();
+            let silent = if begun { self.piece } else { ANSWER_FREE };
             let longest = end.min(Instant::now() + silent);
-            let data = call.read(longest).await.map_err(|_| Trouble::Unusable)?;
+            let data = call.read(longest).await.map_err(|end| match end {
+                ReadError::Silent if begun => Trouble::Stalled,
+                ReadError::Silent | ReadError::Ended => Trouble::Unusable,
+            })?;
             reader.push(&data, |listing| listed = Some(self.tell(listing)))?;
         }
         listed.ok_or(Trouble::Unusable)
@@ -147,15 +191,16 @@
         news: &mut u32,
     ) -> Result<Infallible, Trouble> {
         let path = format!("/discovery/hosts?stream=1&index={}", rev.unwrap_or(0));
-        let mut call = call(agent, path, self.backoff.free()).await?;
+        let mut call = self.call(agent, path).await?;
         let mut reader = ListingReader::new(self.most_targets);
         // When the object that has begun must be whole.
         let mut whole_by = Instant::now();
         loop {
             let begun = reader.begun();
-            let longest = if begun { whole_by.min(Instant::now() + PIECE) } else { Instant::now() + SILENCE };
+            let longest =
+                if begun { whole_by.min(Instant::now() + self.piece) } else { Instant::now() + SILENCE };
             let data = call.read(longest).await.map_err(|end| match end {
-                ReadError::Silent if begun => Trouble::Unusable,
+                ReadError::Silent if begun => Trouble::Stalled,
                 ReadError::Silent => Trouble::Silent,
                 ReadError::Ended if begun => Trouble::Cut,
                 ReadError::Ended => Trouble::Lost,
@@ -171,15 +216,60 @@
         }
     }
 
+    /// Calls until there is an answer or all that was tried has failed.
+    async fn call(&self, agent: SocketAddr, path: String) -> Result<Call, Trouble> {
+        if !self.backoff.free() {
+            return call_once(agent, path, ANSWER).await;
+        }
+        let answer = (self.answered_in.get() * ANSWER_FACTOR).clamp(ANSWER_FREE, ANSWER);
+        let spacing = (self.answered_in.get() * AGAIN_FACTOR).clamp(AGAIN_FREE, answer);
+        let mut calls = JoinSet::new();
+        let mut again = interval(spacing);
+        again.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = again.tick() => {
+                    calls.spawn_local(call_once(agent, path.clone(), answer));
+                }
+                Some(ended) = calls.join_next() => match ended {
+                    Ok(Ok(call)) => {
+                        self.answered_in.set(call.answered_in);
+                        return Ok(call);
+                    }
+                    Ok(Err(trouble)) if calls.is_empty() => return Err(trouble),
+                    Err(_) if calls.is_empty() => return Err(Trouble::Lost),
+                    _ => {}
+                }
+            }
+        }
+    }
+
     /// Hands a listing on and gives its version.
     fn tell(&self, listing: Listing) -> u64 {
         let rev = listing.rev;
+        tracing::debug!(rev, all = listing.all, targets = listing.targets.len(), "told by discovery");
         self.driver.list(listing);
         self.driver.heard();
+        self.heard.set(true);
         rev
     }
 }
 
+/// Ready once an agent is named that must be called anew. The one that is being called already need not: signals in
+/// quick succession would keep each call from being answered.
+async fn named_anew(
+    agents: &mut watch::Receiver<SocketAddr>,
+    present: SocketAddr,
+    heard: &Cell<bool>,
+) -> Result<(), watch::error::RecvError> {
+    loop {
+        agents.changed().await?;
+        if *agents.borrow_and_update() != present || heard.get() {
+            return Ok(());
+        }
+    }
+}
+
 /// A connection of its own for each call; it ends with this.
 struct Connection(AbortHandle);
 
@@ -192,6 +282,8 @@
 /// An answer that has begun.
 struct Call {
     body: Incoming,
+    /// How long it took to begin.
+    answered_in: Duration,
     _connection: Connection,
 }
 
@@ -216,38 +308,16 @@
     }
 }
 
-/// Calls until there is an answer or all that was tried has failed.
-async fn call(agent: SocketAddr, path: String, free: bool) -> Result<Call, Trouble> {
-    if !free {
-        return call_once(agent, path, ANSWER).await;
-    }
-    let mut calls = JoinSet::new();
-    let mut again = interval(AGAIN_FREE);
-    again.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        tokio::select! {
-            _ = again.tick() => {
-                calls.spawn_local(call_once(agent, path.clone(), ANSWER_FREE));
-            }
-            Some(ended) = calls.join_next() => match ended {
-                Ok(Ok(call)) => return Ok(call),
-                Ok(Err(trouble)) if calls.is_empty() => return Err(trouble),
-                Err(_) if calls.is_empty() => return Err(Trouble::Lost),
-                _ => {}
-            }
-        }
-    }
-}
-
 /// One call, which has `longest` for its connection and its answer's head together.
 async fn call_once(agent: SocketAddr, path: String, longest: Duration) -> Result<Call, Trouble> {
     timeout(longest, begin(agent, path)).await.unwrap_or(Err(Trouble::Lost))
 }
 
 async fn begin(agent: SocketAddr, path: String) -> Result<Call, Trouble> {
+    let begun = Instant::now();
     let stream = TcpStream::connect(agent).await.map_err(|_| Trouble::Lost)?;
     stream.set_nodelay(true).map_err(|_| Trouble::Lost)?;
-    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
+    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(ResilientStream::new(stream)));
     let (mut sender, connection) = handshake.await.map_err(|_| Trouble::Lost)?;
     let connection = Connection(tokio::task::spawn_local(connection).abort_handle());
     let request = Request::get(path).header("host", agent.to_string());
@@ -256,5 +326,5 @@
     if answer.status() != StatusCode::OK {
         return Err(Trouble::Refused);
     }
-    Ok(Call { body: answer.into_body(), _connection: connection })
+    Ok(Call { body: answer.into_body(), answered_in: begun.elapsed(), _connection: connection })
 }
--- a/src/bin/ivygate/inbound.rs
+++ b/src/bin/ivygate/inbound.rs
@@ -2,19 +2,25 @@
 //! further than it can hold of a next request, and would not notice behind it that the client has left.
 
 use crate::socket::{has_ended, has_news};
+use crate::stream::ResilientStream;
 use bytes::{Buf, BytesMut};
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// Most that is kept of what comes ahead of an answer: a request with the largest body. Clients ask for one
 /// thing at a time, so that there usually is nothing.
 const AHEAD_MOST: usize = 80 << 10;
+/// Pieces read ahead within this time count as come with the first, so that tiny ones take no memory.
+const TOGETHER: Duration = Duration::from_millis(10);
 /// Read at a time.
 const PIECE: usize = 4 << 10;
 
@@ -23,9 +29,13 @@
 pub struct Inbound(Rc<Shared>);
 
 struct Shared {
-    stream: RefCell<TcpStream>,
+    stream: RefCell<ResilientStream>,
     /// Read ahead, and not yet by hyper.
     ahead: RefCell<BytesMut>,
+    /// When what was read ahead came: numbers of bytes, in order.
+    came: RefCell<VecDeque<(usize, Instant)>>,
+    /// When the last byte came that hyper has read.
+    arrived: Cell<Instant>,
     /// More came than is kept.
     overrun: Cell<bool>,
     /// Called when hyper has read something.
@@ -35,18 +45,24 @@
 impl Inbound {
     /// A stream that calls `on_read` whenever hyper has read something of it.
     pub fn new(stream: TcpStream, on_read: impl Fn() + 'static) -> Self {
-        let (ahead, overrun) = (RefCell::default(), Cell::default());
-        Self(Rc::new(Shared { stream: RefCell::new(stream), ahead, overrun, on_read: Box::new(on_read) }))
+        Self(Rc::new(Shared {
+            stream: RefCell::new(ResilientStream::new(stream)),
+            ahead: RefCell::default(),
+            came: RefCell::default(),
+            arrived: Cell::new(Instant::now()),
+            overrun: Cell::default(),
+            on_read: Box::new(on_read),
+        }))
     }
 
     /// Whether something has come that hyper has not read, be it the end.
     pub fn has_news(&self) -> bool {
-        !self.0.ahead.borrow().is_empty() || has_news(&self.0.stream.borrow())
+        !self.0.ahead.borrow().is_empty() || has_news(self.0.stream.borrow().get_ref())
     }
 
     /// Whether the client has ended its sending right behind what has been read.
     pub fn ended(&self) -> bool {
-        self.0.ahead.borrow().is_empty() && has_ended(&self.0.stream.borrow())
+        self.0.ahead.borrow().is_empty() && has_ended(self.0.stream.borrow().get_ref())
     }
 
     /// Whether the client has sent more ahead of its answer than is kept, so that nothing behind that answer
@@ -55,6 +71,12 @@
         self.0.overrun.get()
     }
 
+    /// When the last byte came that hyper has read. A request sent ahead of the answer to the one before it came
+    /// long before its turn, and its client's time runs from then.
+    pub fn arrived(&self) -> Instant {
+        self.0.arrived.get()
+    }
+
     /// Reads ahead; ready once the client has ended its sending or the connection has broken.
     pub fn poll_end(&self, cx: &mut Context<'_>) -> Poll<()> {
         let mut stream = self.0.stream.borrow_mut();
@@ -73,6 +95,35 @@
             // What is too much is read all the same, and dropped: behind it may stand the end.
             if !self.0.overrun.get() {
                 ahead.extend_from_slice(buf.filled());
+                self.0.came(buf.filled().len());
+            }
+        }
+    }
+}
+
+impl Shared {
+    /// So many bytes have been read ahead.
+    fn came(&self, bytes: usize) {
+        let (mut came, now) = (self.came.borrow_mut(), Instant::now());
+        match came.back_mut() {
+            Some((length, at)) if now - *at < TOGETHER => *length += bytes,
+            _ => came.push_back((bytes, now)),
+        }
+    }
+
+    /// So many bytes of what was read ahead have been read by hyper.
+    fn taken(&self, mut bytes: usize) {
+        let mut came = self.came.borrow_mut();
+        while let Some((length, at)) = came.front_mut() {
+            self.arrived.set(*at);
+            if *length > bytes {
+                *length -= bytes;
+                return;
+            }
+            bytes -= *length;
+            came.pop_front();
+            if bytes == 0 {
+                return;
             }
         }
     }
@@ -86,12 +137,13 @@
             let taken = ahead.len().min(buf.remaining());
             buf.put_slice(&ahead[..taken]);
             ahead.advance(taken);
+            self.0.taken(taken);
         } else if self.0.overrun.get() {
             // Something is missing here: to hyper it is the end.
             return Poll::Ready(Ok(()));
         } else {
             match Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf) {
-                Poll::Ready(Ok(())) => {}
+                Poll::Ready(Ok(())) => self.0.arrived.set(Instant::now()),
                 other => return other,
             }
         }
@@ -107,18 +159,6 @@
         Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(cx, buf)
     }
 
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.0.stream.borrow().is_write_vectored()
-    }
-
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut *self.0.stream.borrow_mut()).poll_flush(cx)
     }
--- a/src/bin/ivygate/upstream.rs
+++ b/src/bin/ivygate/upstream.rs
@@ -1,6 +1,8 @@
 //! Connections to app servers and the attempts on them. One request at a time on each connection.
 
+use crate::shortage::is_shortage;
 use crate::socket::has_news;
+use crate::stream::ResilientStream;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -21,7 +23,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{timeout, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
 /// Longest body of a message.
 pub const BODY_MOST: usize = 64 << 10;
@@ -44,6 +46,11 @@
 /// Where the settings tell no such time.
 const KEEP_UNTOLD: Duration = Duration::from_secs(4);
 
+/// A connection that fails for want of ports, buffers or descriptors is tried again for this long ...
+const SHORTAGE_PATIENCE: Duration = Duration::from_millis(200);
+/// ... with this pause between.
+const SHORTAGE_PAUSE: Duration = Duration::from_millis(10);
+
 /// What an attempt came to.
 pub struct End {
     /// Its outcome, by the protocol's table.
@@ -238,14 +245,12 @@
             return Err(Outcome::Moot);
         }
         let slot = Slot::take(&self.open);
-        let stream = match timeout(self.connect, TcpStream::connect(place.address)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) if out_of_descriptors(&error) => return Err(Outcome::Moot),
-            Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
-        };
+        let connected = timeout(self.connect, connect_through_shortage(place.address)).await;
+        let stream = connected.unwrap_or(Err(Outcome::ConnectFailed))?;
         stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
         let written = Rc::new(Cell::new(0));
         let resting = Rc::new(Cell::new(false));
+        let stream = ResilientStream::new(stream);
         let counted = Counted { stream, written: written.clone(), resting: resting.clone(), _slot: slot };
         let (sender, connection) = hyper::client::conn::http1::Builder::new()
             .max_buf_size(HEAD_MOST)
@@ -263,9 +268,26 @@
     }
 }
 
-/// Whether an error says that this process or machine has no descriptor left (EMFILE, ENFILE).
-pub fn out_of_descriptors(error: &io::Error) -> bool {
-    matches!(error.raw_os_error(), Some(23 | 24))
+/// Connects, and tries again for a moment where this machine lacks what a connection takes: that says nothing of the
+/// server, and would else use up all attempts of a request at once.
+async fn connect_through_shortage(address: SocketAddr) -> Result<TcpStream, Outcome> {
+    let end = Instant::now() + SHORTAGE_PATIENCE;
+    loop {
+        let error = match TcpStream::connect(address).await {
+            Ok(stream) => return Ok(stream),
+            Err(error) => error,
+        };
+        let of_server = matches!(error.raw_os_error(), Some(libc::ENETUNREACH));
+        let passes = of_server || is_shortage(&error) || error.kind() == io::ErrorKind::Interrupted;
+        if !passes {
+            return Err(Outcome::ConnectFailed);
+        }
+        if Instant::now() >= end {
+            tracing::warn!(%error, "no connection to a server can be made");
+            return Err(if of_server { Outcome::ConnectFailed } else { Outcome::Moot });
+        }
+        sleep(SHORTAGE_PAUSE).await;
+    }
 }
 
 /// Why there was no whole answer.
@@ -321,9 +343,7 @@
     let mut coding = parts.headers.get_all(TRANSFER_ENCODING).iter();
     let chunked = coding.next().map(|value| value.as_bytes().eq_ignore_ascii_case(b"chunked"));
     match chunked {
-        // Guards against an answer cut short that looks whole: without a length or chunks only the
-        // connection's end would mark the body's, and a server that dies ends it too.
-        None if !length && !body.is_end_stream() => return Err(Broken::Lost),
+        // Without a length the body goes on to the connection's end. A reset is none: it breaks the body.
         None => {}
         // Two ways to find the end of a body are two ends.
         Some(true) if !length && coding.next().is_none() => {}
@@ -406,21 +426,12 @@
 
 /// A stream that counts the bytes that it has taken for writing.
 struct Counted {
-    stream: TcpStream,
+    stream: ResilientStream,
     written: Rc<Cell<u64>>,
     resting: Rc<Cell<bool>>,
     _slot: Slot,
 }
 
-impl Counted {
-    fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(bytes)) = &written {
-            self.written.set(self.written.get() + *bytes as u64);
-        }
-        written
-    }
-}
-
 impl AsyncRead for Counted {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -428,7 +439,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         // Guards against a stray second answer that tokio has not noticed yet.
-        if self.resting.get() && has_news(&self.stream) {
+        if self.resting.get() && has_news(self.stream.get_ref()) {
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
         Pin::new(&mut self.stream).poll_read(cx, buf)
@@ -438,20 +449,10 @@
 impl AsyncWrite for Counted {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.count(written)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.count(written)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        if let Poll::Ready(Ok(bytes)) = &written {
+            self.written.set(self.written.get() + *bytes as u64);
+        }
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -468,7 +469,7 @@
     use super::*;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
-    use tokio::time::{advance, sleep};
+    use tokio::time::advance;
 
     const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of this")]
 
+use ivygate_faults::Faults;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
@@ -92,6 +93,8 @@
     Silence,
     /// Closes with no answer.
     Close,
+    /// Writes these bytes and resets the connection.
+    Reset(&'static [u8]),
     /// Answers 200 after this time.
     Slow(Duration),
 }
@@ -159,6 +162,12 @@
                     return;
                 }
                 Reply::Close => return,
+                Reply::Reset(bytes) => {
+                    let _ = stream.get_mut().write_all(bytes);
+                    let socket = socket2::SockRef::from(stream.get_ref());
+                    socket.set_linger(Some(Duration::ZERO)).expect("it can be set");
+                    return;
+                }
                 Reply::Slow(time) => {
                     std::thread::sleep(time);
                     ("200 OK", "", b"late".to_vec())
@@ -273,6 +282,11 @@
     silent: Arc<AtomicBool>,
     /// The next list stops half way.
     stalls: Arc<AtomicBool>,
+    /// How long it takes to begin an answer, and to go on in the middle of an object.
+    pause: Arc<Mutex<Duration>>,
+    /// Whether calls wait for each other.
+    one_by_one: Arc<AtomicBool>,
+    turn: Arc<Mutex<()>>,
     /// What every call is answered with, before its connection is closed.
     raw: Arc<Mutex<Option<Vec<u8>>>>,
     /// Calls that came while it was silent; they are never answered.
@@ -292,6 +306,9 @@
             watches: Arc::default(),
             silent: Arc::default(),
             stalls: Arc::default(),
+            pause: Arc::default(),
+            one_by_one: Arc::default(),
+            turn: Arc::default(),
             raw: Arc::default(),
             held: Arc::default(),
             lists: Arc::default(),
@@ -300,19 +317,52 @@
         let served = discovery.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                served.answer(stream);
+                if served.pause().is_zero() {
+                    served.answer(stream);
+                } else {
+                    let served = served.clone();
+                    std::thread::spawn(move || served.answer(stream));
+                }
             }
         });
         discovery
     }
 
+    fn pause(&self) -> Duration {
+        *self.pause.lock().expect("no panic")
+    }
+
+    /// Takes this long from now on to begin an answer, and to go on in the middle of an object.
+    pub fn slow_down(&self, pause: Duration) {
+        *self.pause.lock().expect("no panic") = pause;
+    }
+
+    /// Answers calls one behind another from now on, each of which takes this long.
+    pub fn crowd(&self, pause: Duration) {
+        self.one_by_one.store(true, Ordering::SeqCst);
+        self.slow_down(pause);
+    }
+
+    /// Writes an object, in two halves if it is slow.
+    fn write_slowly(&self, stream: &mut TcpStream, object: &[u8]) {
+        let (first, second) = object.split_at(object.len() / 2);
+        let _ = stream.write_all(first);
+        std::thread::sleep(self.pause());
+        let _ = stream.write_all(second);
+    }
+
     fn answer(&self, stream: TcpStream) {
         let mut stream = BufReader::new(stream);
         let Some(request) = read_message(&mut stream) else { return };
+        // Where it is crowded, one call is answered behind another.
+        let turn = self.one_by_one.load(Ordering::SeqCst).then(|| self.turn.lock().expect("no panic"));
+        std::thread::sleep(self.pause());
+        drop(turn);
+        let raw = self.raw.lock().expect("no panic").clone();
         if self.silent.load(Ordering::SeqCst) {
             self.held.lock().expect("no panic").push(stream.into_inner());
-        } else if let Some(raw) = &*self.raw.lock().expect("no panic") {
-            let _ = stream.get_mut().write_all(raw);
+        } else if let Some(raw) = raw {
+            let _ = stream.get_mut().write_all(&raw);
             let calls = if request.start.contains("stream=1") { &self.watched } else { &self.lists };
             calls.fetch_add(1, Ordering::SeqCst);
         } else if request.start.contains("stream=1") {
@@ -322,8 +372,8 @@
             if request.start.contains("index=0 ") {
                 // Who holds nothing is told all first.
                 let list = self.list.lock().expect("no panic").clone();
-                let _ =
-                    stream.get_mut().write_all(format!("{:x}\r\n{list}\n\r\n", list.len() + 1).as_bytes());
+                let chunk = format!("{:x}\r\n{list}\n\r\n", list.len() + 1);
+                self.write_slowly(stream.get_mut(), chunk.as_bytes());
             }
             self.watches.lock().expect("no panic").push(stream.into_inner());
             self.watched.fetch_add(1, Ordering::SeqCst);
@@ -333,7 +383,7 @@
             let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
             let stalls = self.stalls.swap(false, Ordering::SeqCst);
             let end = if stalls { text.len() - list.len() / 2 } else { text.len() };
-            let _ = stream.get_mut().write_all(&text.as_bytes()[..end]);
+            self.write_slowly(stream.get_mut(), &text.as_bytes()[..end]);
             if stalls {
                 self.held.lock().expect("no panic").push(stream.into_inner());
             }
@@ -444,12 +494,23 @@
 
     /// Starts a node and waits until it listens.
     pub fn spawn(config: &str) -> Self {
+        Self::spawn_with(config, |_| ())
+    }
+
+    /// Starts a node that suffers faults and waits until it is up.
+    pub fn start_with(config: &str, faults: &Faults) -> Self {
+        let node = Self::spawn_with(config, |command| faults.apply(command));
+        until("the node is up", || node.up() == Some(200));
+        node
+    }
+
+    /// Starts a node by a command that is made ready by `prepare`, and waits until it listens.
+    pub fn spawn_with(config: &str, prepare: impl FnOnce(&mut Command)) -> Self {
         let path = scratch(config);
-        let mut child = Command::new(env!("CARGO_BIN_EXE_ivygate"))
-            .env("RELAY_CONFIG", &path)
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("the node starts");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_ivygate"));
+        command.env("RELAY_CONFIG", &path).stderr(Stdio::piped());
+        prepare(&mut command);
+        let mut child = command.spawn().expect("the node starts");
         let mut lines = BufReader::new(child.stderr.take().expect("it has standard error"));
         let mut line = String::new();
         lines.read_line(&mut line).expect("it says where it listens");
