--- a/src/bin/ivygate-adapter/wire.rs
+++ b/src/bin/ivygate-adapter/wire.rs
@@ -175,6 +175,7 @@
                 elapsed: m.number("elapsedMs")?,
                 closed: m.whole_or("last", 0)? == 1,
                 use_percent: Some(m.number_or("quotaUse", 0.0)?).filter(|u| *u > 0.0).map(|u| u - 1.0),
+                metered: m.number_or("quotaUse", 0.0)? > 0.0,
                 load: load(m)?,
             }),
             "opened" => {
@@ -248,7 +249,7 @@
                 "hand_off node={node} requestId={request} server={server} cutAtMs={give_up_at:.3}"
             )
         }
-        Action::Refuse { request, retry_after } => {
+        Action::Refuse { request, retry_after, .. } => {
             writeln!(output, "decline node={node} requestId={request} stayAwayMs={retry_after:.3}")
         }
         Action::Fail { request } => writeln!(output, "drop_request node={node} requestId={request}"),
--- a/src/bin/ivygate/server.rs
+++ b/src/bin/ivygate/server.rs
@@ -4,6 +4,7 @@
 use crate::accept::{AcceptFailures, SHORTAGE_PAUSE};
 use crate::driver::{Answer, Ask, Driver, Message};
 use crate::inbound::Inbound;
+use crate::metrics::{CloseReason, Violation, METRICS};
 use crate::request::Reader;
 use crate::upstream::BODY_MOST;
 use bytes::Bytes;
@@ -30,6 +31,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::{interval, sleep, timeout, Instant};
 
+/// So many bytes behind a request are the beginning of a next one: no request line is shorter.
+const NEXT_LEAST: u64 = 16;
 /// Most that hyper holds of a connection's input at once; more than any request's head needs.
 const BUFFER: usize = 16 << 10;
 /// A client has this long to send a whole request: from when it connects, or from the first byte of a later
@@ -105,6 +108,8 @@
     since: Cell<Instant>,
     /// Requests answered.
     served: Cell<u32>,
+    /// Bytes of the requests read so far, about.
+    consumed: Cell<u64>,
     /// It is to close as soon as nothing is under way on it.
     close: Notify,
     /// It has been told to, to make room.
@@ -117,6 +122,13 @@
         self.since.set(Instant::now());
     }
 
+    /// Tells it to close as soon as nothing is under way on it.
+    fn close_for(&self, reason: CloseReason) {
+        METRICS.closing(reason);
+        tracing::debug!(?reason, phase = ?self.phase.get(), served = self.served.get(), "connection to close");
+        self.close.notify_one();
+    }
+
     /// Marks a request as coming in and tells since when.
     fn reading(&self) -> Instant {
         if self.phase.get() == Phase::Idle {
@@ -128,6 +140,11 @@
         self.since.get()
     }
 
+    /// Whether it has asked for nothing since it connected.
+    fn is_silent(&self) -> bool {
+        self.phase.get() == Phase::Idle && self.served.get() == 0
+    }
+
     /// How long it may stay as it is; `None` for as long as it likes.
     fn allowed(&self) -> Option<Duration> {
         match (self.phase.get(), self.served.get()) {
@@ -249,7 +266,7 @@
         spare.sort_unstable_by_key(|(way, _)| *way);
         for (_, client) in spare.into_iter().take(staying.saturating_sub(wanted)) {
             client.leaving.set(true);
-            client.close.notify_one();
+            client.close_for(CloseReason::MakingRoom);
         }
     }
 
@@ -258,7 +275,7 @@
         let clients = self.clients.borrow();
         for client in clients.values() {
             if client.allowed().is_some_and(|allowed| client.since.get().elapsed() >= allowed) {
-                client.close.notify_one();
+                client.close_for(CloseReason::Overdue);
             }
         }
     }
@@ -273,7 +290,7 @@
                 Phase::Idle => client.since.get().elapsed() >= least,
             };
             if idle {
-                client.close.notify_one();
+                client.close_for(CloseReason::WindingUp);
             }
         }
     }
@@ -285,6 +302,7 @@
             phase: Cell::new(Phase::Idle),
             since: Cell::new(Instant::now()),
             served: Cell::new(0),
+            consumed: Cell::new(0),
             close: Notify::new(),
             leaving: Cell::new(false),
         });
@@ -321,30 +339,31 @@
                 () = poll_fn(|cx| poll_end(connection.as_mut(), &client, &inbound, cx)) => return,
                 () = client.close.notified() => {}
             }
-            let served = client.served.get();
-            match client.phase.get() {
+            let (phase, served) = (client.phase.get(), client.served.get());
+            match phase {
                 // The word came too late: a request has come in whole meanwhile, and is answered.
                 Phase::Open => {
                     connection.as_mut().graceful_shutdown();
                     continue;
                 }
-                // Guards the descriptors against clients that connect and send nothing, or never the rest:
-                // there is no answer that could still be on its way to them.
-                Phase::Reading => return,
-                // A request that lies in the kernel's buffer has been taken, though hyper has not seen it.
-                Phase::Idle if served == 0 || inbound.has_news() => {
+                // What lies in the kernel's buffer has come, though hyper has not seen it: it may be the rest of a
+                // request, or one on a connection that rested.
+                Phase::Reading | Phase::Idle if inbound.has_news() || client.is_silent() => {
                     let end = poll_fn(|cx| poll_end(connection.as_mut(), &client, &inbound, cx));
                     if timeout(LAST_LOOK, end).await.is_ok() {
                         return;
                     }
-                    if client.phase.get() != Phase::Idle || client.served.get() != served {
+                    if client.phase.get() != phase || client.served.get() != served {
                         client.leaving.set(false);
                         continue;
                     }
-                    if served == 0 {
+                    // Guards the descriptors against clients that send nothing, or never the rest: there is no
+                    // answer that could still be on its way to them.
+                    if phase == Phase::Reading || served == 0 {
                         return;
                     }
                 }
+                Phase::Reading => return,
                 Phase::Idle => {}
             }
             connection.as_mut().graceful_shutdown();
@@ -362,6 +381,7 @@
         inbound: &Inbound,
     ) -> Result<Response<Full<Bytes>>, hyper::Error> {
         let begun = client.reading();
+        client.consumed.set(client.consumed.get() + length_of(&request));
         let (mut response, stays) = if request.uri().path() == "/up" {
             (self.up(&request), true)
         } else {
@@ -371,7 +391,7 @@
                 Ok(_) if inbound.ended() => (plain(StatusCode::BAD_REQUEST, "the client has left"), false),
                 Ok(ask) => {
                     client.enter(Phase::Open);
-                    match self.ask(ask).await {
+                    match self.ask(ask, inbound).await {
                         Some(response) => (response, true),
                         None => (plain(StatusCode::CONFLICT, "a request of this id is open"), false),
                     }
@@ -382,7 +402,9 @@
         };
         // Guards against what may lie behind a request that was not read to its end or by its own rules, and
         // against a client that goes on with more of the kind at full speed.
-        if self.ending.get() || !stays || inbound.overrun() {
+        // What has been read is answered, also by a node that ends: its connection is closed once it rests.
+        let more = inbound.has_news() || inbound.read() >= client.consumed.get() + NEXT_LEAST;
+        if (self.ending.get() && !more) || !stays || inbound.overrun() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
@@ -399,11 +421,11 @@
     }
 
     /// The answer to a request, or `None` if one of its id is open.
-    async fn ask(&self, ask: Ask) -> Option<Response<Full<Bytes>>> {
+    async fn ask(&self, ask: Ask, inbound: &Inbound) -> Option<Response<Full<Bytes>>> {
         let id = ask.head.id.clone();
         let answer = self.driver.arrive(ask)?;
         // This future is dropped when the client ends its connection.
-        let mut leaving = Leaving { driver: &self.driver, id: Some(id) };
+        let mut leaving = Leaving { driver: &self.driver, inbound, id: Some(id) };
         let answer = answer.await;
         leaving.id = None;
         Some(match answer {
@@ -467,6 +489,16 @@
     }
 }
 
+/// The bytes of a request as it is usually written. One that is written otherwise may be a little shorter or longer.
+fn length_of(request: &Request<Incoming>) -> u64 {
+    const LINE: usize = "  HTTP/1.1\r\n".len() + "\r\n".len();
+    const HEADER: usize = ": \r\n".len();
+    let line = LINE + request.method().as_str().len() + request.uri().to_string().len();
+    let headers: usize =
+        request.headers().iter().map(|(name, value)| HEADER + name.as_str().len() + value.len()).sum();
+    (line + headers) as u64 + request.body().size_hint().exact().unwrap_or(0)
+}
+
 /// Why a request is not taken.
 enum Unfit {
     /// It is answered so.
@@ -554,12 +586,16 @@
 /// Tells the driver that the client has left, unless its answer came first.
 struct Leaving<'a> {
     driver: &'a Rc<Driver>,
+    inbound: &'a Inbound,
     id: Option<RequestId>,
 }
 
 impl Drop for Leaving<'_> {
     fn drop(&mut self) {
         if let Some(id) = self.id.take() {
+            if !self.inbound.is_over() {
+                METRICS.violation(Violation::ClosedOpenRequest, &id);
+            }
             self.driver.client_gone(&id);
         }
     }
@@ -601,7 +637,7 @@
         let settings = setup.settings().expect("settings");
         let reader = Reader::new(&settings, bounds);
         let gateway = Gateway::new(settings, 1).expect("settings");
-        let driver = Driver::new(gateway, Clock::new(), Upstream::new(links, 10));
+        let driver = Driver::new(gateway, Clock::new(), Upstream::new(links, 10), false);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let client = std::net::TcpStream::connect(listener.local_addr().expect("an address"));
         (Server::new(driver, reader, 10), listener, client.expect("it connects"))
@@ -668,4 +704,30 @@
         };
         LocalSet::new().run_until(test).await;
     }
+
+    #[tokio::test]
+    async fn a_request_is_not_cut_off_over_its_end_that_only_the_kernel_knows_of() {
+        let test = async {
+            let (server, listener, mut client) = server().await;
+            server.take(listener.accept().await.expect("it is accepted").0);
+            let request = b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n";
+            client.write_all(&request[..10]).expect("it is written");
+            let known = server.clients.borrow().values().next().expect("a client").clone();
+            while known.phase.get() != Phase::Reading {
+                yield_now().await;
+            }
+            // From here on nothing is polled before the word to close.
+            client.write_all(&request[10..]).expect("it is written");
+            known.close.notify_one();
+            assert_eq!(status(&mut client).await, "HTTP/1.1 503 Service Unavailable");
+            // Half of one with nothing behind it is closed.
+            client.write_all(&request[..10]).expect("it is written");
+            while known.phase.get() != Phase::Reading {
+                yield_now().await;
+            }
+            known.close.notify_one();
+            assert_eq!(status(&mut client).await, "");
+        };
+        LocalSet::new().run_until(test).await;
+    }
 }
