--- a/src/bin/ivygate/inbound.rs
+++ b/src/bin/ivygate/inbound.rs
@@ -36,8 +36,12 @@
     came: RefCell<VecDeque<(usize, Instant)>>,
     /// When the last byte came that hyper has read.
     arrived: Cell<Instant>,
+    /// When what was there at first may have come, until it has been read.
+    waited_since: Cell<Option<Instant>>,
     /// Bytes that hyper has read.
     read: Cell<u64>,
+    /// hyper has asked for more since, so that it holds no whole request.
+    drained: Cell<bool>,
     /// More came than is kept.
     overrun: Cell<bool>,
     /// Called when hyper has read something.
@@ -45,14 +49,18 @@
 }
 
 impl Inbound {
-    /// A stream that calls `on_read` whenever hyper has read something of it.
-    pub fn new(stream: TcpStream, on_read: impl Fn() + 'static) -> Self {
+    /// A stream that calls `on_read` whenever hyper has read something of it. What lies there to be read already may
+    /// have come at `since`, if that is known.
+    pub fn new(stream: TcpStream, since: Option<Instant>, on_read: impl Fn() + 'static) -> Self {
+        let waited_since = since.filter(|_| has_news(&stream));
         Self(Rc::new(Shared {
             stream: RefCell::new(ResilientStream::new(stream)),
             ahead: RefCell::default(),
             came: RefCell::default(),
             arrived: Cell::new(Instant::now()),
+            waited_since: Cell::new(waited_since),
             read: Cell::default(),
+            drained: Cell::default(),
             overrun: Cell::default(),
             on_read: Box::new(on_read),
         }))
@@ -73,6 +81,12 @@
         self.0.read.get()
     }
 
+    /// Whether hyper has asked for more than there is since it last read something, which it does once it holds no
+    /// whole request.
+    pub fn drained(&self) -> bool {
+        self.0.drained.get()
+    }
+
     /// Whether the client has ended its sending or the connection has broken, whatever was read ahead.
     pub fn is_over(&self) -> bool {
         has_ended(self.0.stream.borrow().get_ref())
@@ -156,13 +170,20 @@
             return Poll::Ready(Ok(()));
         } else {
             match Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf) {
-                Poll::Ready(Ok(())) => self.0.arrived.set(Instant::now()),
-                other => return other,
+                Poll::Ready(Ok(())) => {
+                    self.0.arrived.set(self.0.waited_since.take().unwrap_or_else(Instant::now));
+                }
+                Poll::Pending => {
+                    self.0.drained.set(true);
+                    return Poll::Pending;
+                }
+                failed => return failed,
             }
         }
         let read = buf.filled().len() - before;
         if read > 0 {
             self.0.read.set(self.0.read.get() + read as u64);
+            self.0.drained.set(false);
             (self.0.on_read)();
         }
         Poll::Ready(Ok(()))
--- a/src/bin/ivygate/server.rs
+++ b/src/bin/ivygate/server.rs
@@ -107,8 +107,11 @@
                 () = self.freed.notified(), if full => {}
                 accepted = listener.accept(), if !full => match accepted {
                     Ok((stream, _)) => {
-                        failures.succeeded();
-                        self.take(stream);
+                        let since = failures.succeeded();
+                        self.take(stream, since);
+                        if since.is_some() {
+                            self.accept_waiting(&listener, &mut failures);
+                        }
                     }
                     Err(error) => failures.wait(&error).await,
                 },
@@ -121,6 +124,17 @@
         }
     }
 
+    /// Accepts what has waited in the kernel's queue while accepting failed, up to the bound or the next failure.
+    fn accept_waiting(self: &Rc<Self>, listener: &TcpListener, failures: &mut AcceptFailures) {
+        while self.clients.borrow().len() < self.most {
+            match accept_now(listener) {
+                Ok(stream) => self.take(stream, failures.succeeded()),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return failures.queue_is_empty(),
+                Err(_) => return,
+            }
+        }
+    }
+
     /// Accepts what waits in the kernel's queue: what the machine has accepted by now counts as taken. Asked past
     /// tokio, which may not have heard yet.
     async fn accept_rest(self: &Rc<Self>, listener: &TcpListener) {
@@ -132,10 +146,7 @@
                 continue;
             }
             match accept_now(listener) {
-                Ok(stream) => {
-                    failures.succeeded();
-                    self.take(stream);
-                }
+                Ok(stream) => self.take(stream, failures.succeeded()),
                 // None is left.
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                 Err(error) => failures.wait(&error).await,
@@ -201,7 +212,8 @@
         }
     }
 
-    fn take(self: &Rc<Self>, stream: TcpStream) {
+    /// Serves a connection; `since` says since when it may have waited to be accepted, if that is not now.
+    fn take(self: &Rc<Self>, stream: TcpStream, since: Option<Instant>) {
         let number = self.next.get();
         self.next.set(number + 1);
         let client = Rc::new(Client::new());
@@ -211,14 +223,14 @@
             let server = registered.server.clone();
             // A socket that takes no options is broken, which the first read will tell as well.
             let _ = stream.set_nodelay(true);
-            server.serve(stream, client).await;
+            server.serve(stream, client, since).await;
             drop(registered);
         });
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream, client: Rc<Client>) {
+    async fn serve(self: Rc<Self>, stream: TcpStream, client: Rc<Client>, since: Option<Instant>) {
         let reader = client.clone();
-        let inbound = Inbound::new(stream, move || {
+        let inbound = Inbound::new(stream, since, move || {
             reader.reading();
         });
         let service = service_fn(|request| {
@@ -240,11 +252,10 @@
             }
             let (phase, served) = (client.phase.get(), client.served.get());
             match phase {
-                // The word came too late: a request has come in whole meanwhile, and is answered.
-                Phase::Open => {
-                    connection.as_mut().graceful_shutdown();
-                    continue;
-                }
+                // The word came too late: a request has come in whole meanwhile, and is answered, as are those that
+                // came with it. The last of them is answered with the word to leave.
+                Phase::Open => continue,
+                Phase::Idle if has_more(&client, &inbound) => continue,
                 // What lies in the kernel's buffer has come, though hyper has not seen it: it may be the rest of a
                 // request, or one on a connection that rested.
                 Phase::Reading | Phase::Idle if inbound.has_news() || client.is_silent() => {
@@ -301,14 +312,18 @@
         };
         // Guards against what may lie behind a request that was not read to its end or by its own rules, and
         // against a client that goes on with more of the kind at full speed.
-        // What has been read is answered, also by a node that ends: its connection is closed once it rests.
-        let more = inbound.has_news() || inbound.read() >= client.consumed.get() + NEXT_LEAST;
-        if (self.ending.get() && !more) || !stays || inbound.overrun() {
+        if self.leaves(client, inbound) || !stays || inbound.overrun() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
     }
 
+    /// Whether the client is told to leave with its answer: the node ends, or its place is needed. What has been read
+    /// beyond that request is answered first, and the connection closed once it rests.
+    fn leaves(&self, client: &Client, inbound: &Inbound) -> bool {
+        (self.ending.get() || client.leaving.get()) && !has_more(client, inbound) && !inbound.has_news()
+    }
+
     fn up(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
         if request.method() != Method::GET {
             return plain(StatusCode::METHOD_NOT_ALLOWED, "only GET");
@@ -369,6 +384,16 @@
     }
 }
 
+/// Whether hyper holds more than the requests that it has handed on: the beginning of a next one, or all of it.
+fn has_more(client: &Client, inbound: &Inbound) -> bool {
+    if inbound.drained() {
+        // Requests are not all written as their length is reckoned here.
+        client.consumed.set(inbound.read());
+        return false;
+    }
+    inbound.read() >= client.consumed.get() + NEXT_LEAST
+}
+
 /// Goes on with a client's connection; ready once it has ended, or nobody waits for its open request any more.
 fn poll_end<C: Future>(
     connection: Pin<&mut C>,
