--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -145,3 +145,30 @@
         drop(crowd);
     }
 }
+
+#[test]
+fn a_crowd_that_has_gone_costs_later_clients_no_time() {
+    let app = App::start(|_| Reply::ok("x"));
+    let list = listing(1, true, &[target("a", app.address, "north", "SERVING")]);
+    let discovery = Discovery::start(list.clone());
+    let node = Node::start(&config(discovery.address, &list, SETTINGS, 64));
+    let before = node.descriptors();
+    // One of these fills the node to the last place and leaves nobody waiting.
+    for count in 25..34 {
+        let crowd: Vec<_> = (0..count).filter_map(|_| TcpStream::connect(node.address).ok()).collect();
+        until("most of it is there", || node.descriptors() >= before + 20);
+        drop(crowd);
+        until("it has gone", || node.descriptors() <= before + 4);
+        let gone = Instant::now();
+        until("nobody has come for a while", || gone.elapsed() > Duration::from_millis(400));
+        for number in 0..3 {
+            let id = format!("r{count}-{number}");
+            assert_eq!(node.ask(&request_with("order", &id, "large", "5000m")).status(), 200);
+        }
+    }
+    for request in &*app.requests.lock().expect("no panic") {
+        let told = request.header("req-deadline").and_then(|told| told.strip_suffix('u'));
+        let told_ms = told.and_then(|told| told.parse::<f64>().ok()).expect("microseconds") / 1_000.0;
+        assert!(told_ms >= 4_800.0, "{told_ms} ms told to {}", id_of(request));
+    }
+}
