Forget that connections waited as soon as the queue is empty

Change: the queue is asked before anything else is waited for, so that an empty one is known at once.

--- a/src/bin/ivygate/accept.rs
+++ b/src/bin/ivygate/accept.rs
@@ -48,6 +48,11 @@
         self.full_since.get_or_insert_with(Instant::now);
     }
 
+    /// Whether connections in the queue may have waited.
+    pub fn kept_waiting(&self) -> bool {
+        self.since.is_some() || self.full_since.is_some()
+    }
+
     /// Nothing is left in the queue.
     pub fn queue_is_empty(&mut self) {
         self.since = None;
--- a/src/bin/ivygate/server.rs
+++ b/src/bin/ivygate/server.rs
@@ -102,6 +102,9 @@
             // Guards the descriptors: at the bound another client makes room, or the next waits in the
             // kernel's queue until one ends.
             self.make_room();
+            if failures.kept_waiting() {
+                self.accept_waiting(&listener, &mut failures);
+            }
             let full = self.clients.borrow().len() >= self.most;
             if full {
                 failures.full();
@@ -109,13 +112,7 @@
             tokio::select! {
                 () = self.freed.notified(), if full => {}
                 accepted = listener.accept(), if !full => match accepted {
-                    Ok((stream, _)) => {
-                        let since = failures.succeeded();
-                        self.take(stream, since);
-                        if since.is_some() {
-                            self.accept_waiting(&listener, &mut failures);
-                        }
-                    }
+                    Ok((stream, _)) => self.take(stream, failures.succeeded()),
                     Err(error) => failures.wait(&error).await,
                 },
                 _ = look.tick() => self.close_overdue(),
@@ -127,7 +124,8 @@
         }
     }
 
-    /// Accepts what has waited in the kernel's queue while accepting failed, up to the bound or the next failure.
+    /// Accepts what has waited in the kernel's queue while accepting failed or there was no room, up to the bound or
+    /// the next failure. Asked past tokio, so that an empty queue is known before the next one comes.
     fn accept_waiting(self: &Rc<Self>, listener: &TcpListener, failures: &mut AcceptFailures) {
         while self.clients.borrow().len() < self.most {
             match accept_now(listener) {
