--- a/src/permit.rs
+++ b/src/permit.rs
@@ -1,5 +1,6 @@
-//! The rules on what may be sent, repeated and refused, in one place. Decisions ask here when a server is chosen; a
-//! node asks again just before the first byte of an attempt is written, when some of it may have changed.
+//! The rules on what may be sent, repeated and refused, in one place. Decisions ask here when a server is
+//! chosen; a node asks again just before the first byte of an attempt is written, when some of it may have
+//! changed.
 
 use crate::interface::{Class, Effect, KeyScope, Millis};
 use std::fmt;
