--- a/src/cold.rs
+++ b/src/cold.rs
@@ -8,8 +8,8 @@
 /// Part of the work that fells a server which is used: work varies, and any window touches three turns.
 const SAFETY: f64 = 0.75;
 
-/// The turn that is on at a server of this age, counted from its start, and the age at which it began. An age below
-/// nothing is that of a server whose clock is ahead of the gateway's.
+/// The turn that is on at a server of this age, counted from its start, and the age at which it began. An age
+/// below nothing is that of a server whose clock is ahead of the gateway's.
 pub fn turn(settings: &Settings, age: Millis) -> (u64, Millis) {
     let length = TURN * settings.fall_window;
     let turn = (age / length).floor();
--- a/src/rules/servers.rs
+++ b/src/rules/servers.rs
@@ -68,8 +68,8 @@
         }
     }
 
-    /// How long ago a server started, at the least: since this gateway was told of it, and for as long before as its
-    /// clock may be believed.
+    /// How long ago a server started, at the least: since this gateway was told of it, and for as long before as
+    /// its clock may be believed.
     fn least_age(&self, server: &Server) -> Millis {
         let Some(started) = server.started else { return f64::INFINITY };
         let age_when_told = (server.told_at - started - self.settings.clock_error).max(0.0);
@@ -87,8 +87,8 @@
     }
 
     /// The turn that is on at a cold server, and how many requests of this work this gateway may send in it:
-    /// none in one that began before it did, since an earlier life may have sent some. Turns are counted from the
-    /// start that the server tells, be it right or not, so that all gateways have them in step.
+    /// none in one that began before it did, since an earlier life may have sent some. Turns are counted from
+    /// the start that the server tells, be it right or not, so that all gateways have them in step.
     pub(super) fn cold_turn(&self, id: ServerId, server: &Server, work: Millis) -> (u64, u32) {
         let started = server.started.unwrap_or(self.now);
         let (turn, begun) = cold::turn(&self.settings, self.now - started);
