--- a/src/rules/servers.rs
+++ b/src/rules/servers.rs
@@ -68,8 +68,8 @@
         }
     }
 
-    /// How long ago a server started, at the least: since this gateway was told of it, and for as long before as
-    /// its clock may be believed.
+    /// How long ago a server started, at the least: since this gateway was told of it, and for as long before
+    /// as its clock may be believed.
     fn least_age(&self, server: &Server) -> Millis {
         let Some(started) = server.started else { return f64::INFINITY };
         let age_when_told = (server.told_at - started - self.settings.clock_error).max(0.0);
