--- a/src/bin/ivygate/metrics.rs
+++ b/src/bin/ivygate/metrics.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::header::CONTENT_TYPE;
 use hyper::service::service_fn;
-use hyper::{Response, StatusCode};
+use hyper::Response;
 use hyper_util::rt::TokioIo;
 use ivygate::permit::Denied;
 use ivygate::{Outcome, RefusalReason};
@@ -187,7 +187,6 @@
     const PATIENCE: std::time::Duration = std::time::Duration::from_secs(1);
     let service = service_fn(|_| async {
         let mut response = Response::new(Full::new(Bytes::from(METRICS.text())));
-        *response.status_mut() = StatusCode::OK;
         let kind = hyper::header::HeaderValue::from_static("application/openmetrics-text; version=1.0.0");
         response.headers_mut().insert(CONTENT_TYPE, kind);
         Ok::<_, Infallible>(response)
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -138,8 +138,7 @@
         client.write(request_with("order", &format!("r{round}"), "large", "5000m").as_bytes());
         assert_eq!(client.read().expect("an answer").status(), 200);
         let (at, request) = came.lock().expect("no panic").last().expect("a request").clone();
-        let told = request.header("req-deadline").and_then(|told| told.strip_suffix('u'));
-        let told_ms = told.and_then(|told| told.parse::<f64>().ok()).expect("microseconds") / 1_000.0;
+        let told_ms = told_ms(&request);
         let waited_ms = (at - sent).as_secs_f64() * 1_000.0;
         assert!(told_ms <= WAIT_MS - waited_ms + SLACK_MS, "{told_ms} ms told after {waited_ms} ms");
         drop(crowd);
@@ -167,8 +166,7 @@
         }
     }
     for request in &*app.requests.lock().expect("no panic") {
-        let told = request.header("req-deadline").and_then(|told| told.strip_suffix('u'));
-        let told_ms = told.and_then(|told| told.parse::<f64>().ok()).expect("microseconds") / 1_000.0;
+        let told_ms = told_ms(request);
         assert!(told_ms >= 4_800.0, "{told_ms} ms told to {}", id_of(request));
     }
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -659,6 +659,12 @@
     (blocked, discovery, node, client)
 }
 
+/// The time that an app server was told it has for a request, in milliseconds.
+pub fn told_ms(request: &Message) -> f64 {
+    let told = request.header("req-deadline").and_then(|told| told.strip_suffix('u'));
+    told.and_then(|told| told.parse::<f64>().ok()).expect("microseconds") / 1_000.0
+}
+
 /// The id of a request that an app server has read.
 pub fn id_of(request: &Message) -> String {
     request.header("req-id").unwrap_or_default().to_owned()
--- a/tests/syscalls.rs
+++ b/tests/syscalls.rs
@@ -218,8 +218,7 @@
         client.read().expect("an answer");
     }
     for request in &*app.requests.lock().expect("no panic") {
-        let told = request.header("req-deadline").and_then(|told| told.strip_suffix('u'));
-        let told_ms = told.and_then(|told| told.parse::<f64>().ok()).expect("microseconds") / 1_000.0;
+        let told_ms = told_ms(request);
         assert!(told_ms <= WAIT_MS - WAITED.as_secs_f64() * 1_000.0 + SLACK_MS, "{told_ms} ms");
     }
     assert!(app.seen() > 0);
