--- a/review/standins.py
+++ b/review/standins.py
@@ -420,6 +420,7 @@
         self.serial = 0
         self.prefix = "%08x" % random.getrandbits(32)
         self.results = []
+        self.not_connected = set()
 
     def head(self, request_id, kind, effect, customer, plan_name, units, spread, first, deadline, body, retry):
         lines = ["GET /api HTTP/1.1" if effect == "safe" else "POST /api HTTP/1.1", "Host: service.internal",
@@ -465,7 +466,9 @@
                     self.idle.append((reader, writer))
             except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as error:
                 self.record.line(f"client {request_id} no answer: {type(error).__name__}")
-                if writer is not None:
+                if writer is None:
+                    self.not_connected.add(request_id)
+                else:
                     writer.close()
                 # The close of a resting connection crossed the request: once more on a new connection.
                 again = reused and isinstance(error, (ConnectionError, asyncio.IncompleteReadError))
