Count and log polls that hold the node's only thread

The new counter slow_polls_total names the kind of task whose poll took 50 ms or more, and the log line its duration.

--- a/src/bin/edge-gateway/client/listener.rs
+++ b/src/bin/edge-gateway/client/listener.rs
@@ -9,6 +9,7 @@
 use crate::client::handler::RequestHandler;
 use crate::client::serve::serve;
 use crate::io::resource_exhaustion::RESOURCE_EXHAUSTION_PAUSE;
+use crate::telemetry::slow_polls::{time_polls, TaskKind};
 use socket2::SockRef;
 use std::io;
 use std::net::SocketAddr;
@@ -125,12 +126,13 @@
 ) {
     let registration = connections.register(client_address);
     let handler = handler.clone();
-    tokio::task::spawn_local(async move {
+    let task = async move {
         // If this fails, the socket is broken, and the first read returns an error as well.
         let _ = stream.set_nodelay(true);
         serve(handler, registration.connection().clone(), stream, queued_since).await;
         drop(registration);
-    });
+    };
+    tokio::task::spawn_local(time_polls(TaskKind::ClientConnection, task));
 }
 
 /// Accepts a connection without waiting, bypassing tokio. Returns the client's address as well. The error is
--- a/src/bin/edge-gateway/discovery/call.rs
+++ b/src/bin/edge-gateway/discovery/call.rs
@@ -2,6 +2,7 @@
 
 use super::error::{BodyEnd, CallError, CallFailure};
 use crate::io::resilient_stream::ResilientStream;
+use crate::telemetry::slow_polls::{time_polls, TaskKind};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
@@ -60,6 +61,7 @@
         stream.set_nodelay(true).map_err(CallFailure::Connect)?;
         let handshake = hyper::client::conn::http1::handshake(TokioIo::new(ResilientStream::new(stream)));
         let (mut sender, connection) = handshake.await.map_err(CallFailure::Connection)?;
+        let connection = time_polls(TaskKind::DiscoveryConnection, connection);
         let connection = ConnectionTask(tokio::task::spawn_local(connection).abort_handle());
         let request = Request::get(path).header("host", agent.to_string());
         let request = request.body(Empty::<Bytes>::new()).map_err(CallFailure::Request)?;
--- a/src/bin/edge-gateway/dispatcher/attempts.rs
+++ b/src/bin/edge-gateway/dispatcher/attempts.rs
@@ -9,6 +9,7 @@
 use super::{Dispatcher, State};
 use crate::answer::Answer;
 use crate::telemetry::metrics::METRICS;
+use crate::telemetry::slow_polls::{time_polls, TaskKind};
 use crate::upstream::{AttemptEnd, AttemptProgress, EndpointInstance};
 use edge_gateway::attempt_policy::{
     check_start, AttemptContext, AttemptDenied, AttemptState, EarlierAttempt,
@@ -99,7 +100,7 @@
             progress: progress.clone(),
             earlier_tasks,
         });
-        let task = Some(tokio::task::spawn_local(task));
+        let task = Some(tokio::task::spawn_local(time_polls(TaskKind::Attempt, task)));
         let timeout_timer = timers.set(timeout_at, Timer::AttemptTimeout(id));
         let state = AttemptState::InFlight;
         request.attempts.push(Attempt {
--- a/src/bin/edge-gateway/main.rs
+++ b/src/bin/edge-gateway/main.rs
@@ -33,6 +33,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use telemetry::metrics::{Violation, METRICS};
+use telemetry::slow_polls::{time_polls, TaskKind};
 use telemetry::{log, metrics_server};
 use tokio::net::TcpListener;
 use tokio::signal::unix::Signal;
@@ -93,14 +94,14 @@
         dispatcher.update_endpoints(endpoints);
     }
     let listener = listen_for_clients(configuration.listen).await?;
-    spawn_local(dispatcher.clone().run_timers());
+    spawn_local(time_polls(TaskKind::Timers, dispatcher.clone().run_timers()));
     spawn_discovery(&dispatcher, &configuration, cached_version, hangups);
     if let Some(address) = metrics_server::address() {
-        spawn_local(metrics_server::serve(address));
+        spawn_local(time_polls(TaskKind::Metrics, metrics_server::serve(address)));
     }
     let head_parser = RequestHeadParser::new(&configuration.settings, configuration.request_limits);
     let frontend = Frontend::new(dispatcher.clone(), head_parser, budget.client);
-    let accept_task = spawn_local(frontend.clone().accept(listener));
+    let accept_task = spawn_local(time_polls(TaskKind::Accept, frontend.clone().accept(listener)));
     termination.recv().await;
     tracing::info!("shutting down");
     frontend.shut_down(accept_task).await;
@@ -136,7 +137,7 @@
     let (address_sender, address_receiver) = watch::channel(configuration.discovery);
     let backoff = PollBackoff::new(configuration.poll_settings, configuration.seed);
     let discovery = Discovery::new(dispatcher.clone(), backoff, configuration.max_endpoints);
-    spawn_local(discovery.follow(address_receiver, cached_version));
+    spawn_local(time_polls(TaskKind::Discovery, discovery.follow(address_receiver, cached_version)));
     spawn_local(reload_on_hangup(hangups, address_sender));
 }
 
--- a/src/bin/edge-gateway/telemetry/metrics.rs
+++ b/src/bin/edge-gateway/telemetry/metrics.rs
@@ -1,6 +1,7 @@
 //! Prometheus counters of what this process has done and why. [`super::metrics_server`] serves them.
 
 use crate::answer::Answer;
+use crate::telemetry::slow_polls::TaskKind;
 use edge_gateway::attempt_policy::AttemptDenied;
 use edge_gateway::{Outcome, RejectReason};
 use prometheus_client::encoding::text::encode;
@@ -69,6 +70,7 @@
     client_connections_closed: CounterFamily,
     discovery_calls: CounterFamily,
     accept_failures: CounterFamily,
+    slow_polls: CounterFamily,
     violations: CounterFamily,
 }
 
@@ -94,6 +96,7 @@
                 "Calls to discovery by how they ended, and endpoint lists received",
             ),
             accept_failures: counters("accept_failures", "Client connections that could not be accepted"),
+            slow_polls: counters("slow_polls", "Polls that held the thread for long, by kind of task"),
             violations: counters("violations", "Invariants violated, as far as this node can tell"),
             registry,
         }
@@ -139,6 +142,11 @@
         self.accept_failures.get_or_create(&[("kind", kind)]).inc();
     }
 
+    /// Counts a poll of a task that held the thread for long.
+    pub fn record_slow_poll(&self, task: TaskKind) {
+        self.slow_polls.get_or_create(&[("task", task.name())]).inc();
+    }
+
     /// Counts and logs a violated invariant; `subject` names the affected requests. The lab's soak test fails
     /// if the log contains this message (`FATAL_LOG_TEXTS`).
     pub fn record_violation(&self, violation: Violation, subject: &str) {
