Count reads and writes that bypass the runtime towards a task's budget

No client is answered or accepted and no timer fires until the endpoint stops.

Cause: after a short read ResilientStream reads on the socket itself, and goes on so as long as each read brings data. The runtime's budget, which makes a task yield, counts only its own reads. hyper skips interim responses in a loop that ends when a read is pending, so a peer that keeps the buffer filled keeps the task in one poll.

Fix: every transfer takes units of the task's budget by its bytes, whichever way it went, and calls are pending once it is used up. A task so handles at most about 128 KiB for each poll; the runtime alone counts calls of any size. This holds for all users of the stream: attempts, clients' connections with their read-ahead, calls to discovery.

Tests, failing before: yields_although_every_short_read_finds_more_data and the same for writes (never pending in 10,000 calls); endless_responses_..., endless_input_of_clients_... and endless_input_of_discovery_... (no response to a usual request in 20 s; clients: in 20 s, or after 2.0 s with a deadline of 1 s; discovery: the node is not ready in 20 s).

--- a/src/bin/edge-gateway/io/resilient_stream.rs
+++ b/src/bin/edge-gateway/io/resilient_stream.rs
@@ -3,12 +3,16 @@
 use socket2::SockRef;
 use std::io::{self, ErrorKind, Read, Write};
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::task::coop::{has_budget_remaining, poll_proceed};
 
 /// Maximum size of a read that bypasses the runtime, in bytes.
 const READ_SIZE: usize = 4 << 10;
+/// Number of bytes read or written that use up one unit of the runtime's budget for a poll of a task. The
+/// runtime itself counts calls, whatever their size.
+const BYTES_PER_BUDGET_UNIT: usize = 1 << 10;
 
 /// A stream that continues after a system call was interrupted (`EINTR`) or transferred fewer bytes than it
 /// could have.
@@ -16,6 +20,10 @@
 /// After a short transfer the runtime assumes that the socket's buffer is empty or full, and waits for the
 /// next readiness event. If the assumption is wrong, that event never comes. So the call after a short
 /// transfer bypasses the runtime and is made on the socket itself.
+///
+/// All transfers count towards the runtime's budget for a poll of a task, by their bytes. Once it is used up,
+/// calls are pending and the task is polled again after the others. So a task yields, even one that never
+/// finds the socket's buffer empty or full.
 pub struct ResilientStream {
     stream: TcpStream,
     /// Whether the last read was short, so that there may be more data.
@@ -47,6 +55,44 @@
     fn try_write(&self, bytes: &[u8]) -> Option<io::Result<usize>> {
         retry_interrupted(|| (&*SockRef::from(&self.stream)).write(bytes))
     }
+
+    /// Reads through the runtime.
+    fn poll_runtime_read(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+            if !is_interrupted(&result) {
+                return result;
+            }
+        }
+    }
+
+    /// Writes through the runtime.
+    fn poll_runtime_write(&mut self, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        loop {
+            let result = Pin::new(&mut self.stream).poll_write(cx, bytes);
+            if !is_interrupted(&result) {
+                return result;
+            }
+        }
+    }
+}
+
+/// Pending if the runtime's budget for this poll of the task is used up. The task is then polled again.
+fn poll_budget(cx: &mut Context<'_>) -> Poll<()> {
+    // The unit is given back at once: `use_budget` takes as many as the transfer needs.
+    poll_proceed(cx).map(drop)
+}
+
+/// Uses up the part of the budget that a transfer of this size takes.
+fn use_budget(cx: &mut Context<'_>, bytes: usize) {
+    for _ in 0..bytes.div_ceil(BYTES_PER_BUDGET_UNIT) {
+        if !has_budget_remaining() {
+            return;
+        }
+        if let Poll::Ready(unit) = poll_proceed(cx) {
+            unit.made_progress();
+        }
+    }
 }
 
 /// Makes a non-blocking call, and repeats it while it is interrupted. Returns `None` if it would block.
@@ -70,37 +116,37 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if std::mem::take(&mut self.read_was_short) {
-            if let Some(read) = self.try_read(buf) {
-                self.read_was_short = read.as_ref().is_ok_and(|read| *read > 0);
-                return Poll::Ready(read.map(drop));
-            }
-        }
+        ready!(poll_budget(cx));
         let before = buf.filled().len();
-        let mut result = Pin::new(&mut self.stream).poll_read(cx, buf);
-        while is_interrupted(&result) {
-            result = Pin::new(&mut self.stream).poll_read(cx, buf);
-        }
-        self.read_was_short = buf.filled().len() > before && buf.remaining() > 0;
+        let bypassed = if self.read_was_short { self.try_read(buf) } else { None };
+        let bypasses_runtime = bypassed.is_some();
+        let result = match bypassed {
+            Some(read) => Poll::Ready(read.map(drop)),
+            None => self.poll_runtime_read(cx, buf),
+        };
+        let read = buf.filled().len() - before;
+        use_budget(cx, read);
+        // The runtime is unaware of a read that bypasses it, so there may be more data even if it filled `buf`.
+        self.read_was_short = read > 0 && (bypasses_runtime || buf.remaining() > 0);
         result
     }
 }
 
 impl AsyncWrite for ResilientStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        if std::mem::take(&mut self.write_was_short) {
-            if let Some(written) = self.try_write(bytes) {
-                // The runtime is unaware of this write and still assumes that the socket is full. It is
-                // bypassed until the socket really is full, since only then a readiness event follows.
-                self.write_was_short = true;
-                return Poll::Ready(written);
-            }
-        }
-        let mut result = Pin::new(&mut self.stream).poll_write(cx, bytes);
-        while is_interrupted(&result) {
-            result = Pin::new(&mut self.stream).poll_write(cx, bytes);
-        }
-        self.write_was_short = matches!(&result, Poll::Ready(Ok(written)) if *written < bytes.len());
+        ready!(poll_budget(cx));
+        // The runtime is unaware of a write that bypasses it, and still assumes that the socket is full. It is
+        // bypassed until the socket really is full, since only then a readiness event follows.
+        let bypassed = if self.write_was_short { self.try_write(bytes) } else { None };
+        let bypasses_runtime = bypassed.is_some();
+        let result = match bypassed {
+            Some(written) => Poll::Ready(written),
+            None => self.poll_runtime_write(cx, bytes),
+        };
+        let written = if let Poll::Ready(Ok(written)) = &result { *written } else { 0 };
+        use_budget(cx, written);
+        let is_short = matches!(result, Poll::Ready(Ok(_))) && written < bytes.len();
+        self.write_was_short = bypasses_runtime || is_short;
         result
     }
 
@@ -112,3 +158,6 @@
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/support/sockets.rs
+++ b/tests/support/sockets.rs
@@ -1,5 +1,6 @@
 //! The state of TCP connections, taken from the system's socket table or from a peek at the connection.
 
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 
 /// A line of the system's table of TCP sockets.
@@ -56,3 +57,15 @@
         .and_then(|listener| listener.local_addr())
         .expect("failed to bind a loopback port")
 }
+
+/// Writes `first` once and `repeated` again and again, as fast as the peer reads, until the peer closes the
+/// connection.
+pub fn write_endlessly(stream: &mut TcpStream, first: &str, repeated: &str) {
+    /// Size of one write, so that the peer always finds data.
+    const WRITE_SIZE: usize = 128 << 10;
+    let repeated = repeated.repeat(WRITE_SIZE.div_ceil(repeated.len()));
+    let mut result = stream.write_all(first.as_bytes());
+    while result.is_ok() {
+        result = stream.write_all(repeated.as_bytes());
+    }
+}
--- a/tests/support/stub_discovery.rs
+++ b/tests/support/stub_discovery.rs
@@ -1,7 +1,7 @@
 //! A discovery agent that serves the endpoint lists and pushes the events that a test chooses.
 
 use super::http::{read_message, HttpMessage};
-use super::sockets::is_closed_by_peer;
+use super::sockets::{is_closed_by_peer, write_endlessly};
 use super::wait::wait_until;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -61,6 +61,8 @@
     delay: Duration,
     /// Bytes sent in response to every call before its connection is closed.
     raw_response: Option<Vec<u8>>,
+    /// What every call is answered with: some text once, and some again and again until the node hangs up.
+    endless_response: Option<(&'static str, &'static str)>,
 }
 
 /// A discovery agent that runs on a thread of the test. Clones share its state.
@@ -152,6 +154,11 @@
         self.update_behaviour(|behaviour| behaviour.raw_response = raw);
     }
 
+    /// Answers every call with `first` once and `repeated` again and again until the node closes the call.
+    pub fn set_endless_response(&self, first: &'static str, repeated: &'static str) {
+        self.update_behaviour(|behaviour| behaviour.endless_response = Some((first, repeated)));
+    }
+
     /// Sets whether new calls are accepted but never answered.
     pub fn set_silent(&self, silent: bool) {
         self.silent.store(silent, Ordering::SeqCst);
@@ -206,10 +213,16 @@
         let mut stream = BufReader::new(stream);
         let Some(request) = read_message(&mut stream) else { return };
         self.delay_response();
-        let raw = self.behaviour.lock().expect("mutex poisoned").raw_response.clone();
-        let stream = stream.into_inner();
+        let (raw, endless) = {
+            let behaviour = self.behaviour.lock().expect("mutex poisoned");
+            (behaviour.raw_response.clone(), behaviour.endless_response)
+        };
+        let mut stream = stream.into_inner();
         if self.silent.load(Ordering::SeqCst) {
             self.unanswered.lock().expect("mutex poisoned").push(stream);
+        } else if let Some((first, repeated)) = endless {
+            self.count_call(&request);
+            std::thread::spawn(move || write_endlessly(&mut stream, first, repeated));
         } else if let Some(raw) = raw {
             self.answer_raw(&request, stream, &raw);
         } else if is_watch(&request.start_line) {
@@ -230,6 +243,10 @@
 
     fn answer_raw(&self, request: &HttpMessage, mut stream: TcpStream, raw: &[u8]) {
         let _ = stream.write_all(raw);
+        self.count_call(request);
+    }
+
+    fn count_call(&self, request: &HttpMessage) {
         let calls = if is_watch(&request.start_line) { &self.watch_calls } else { &self.list_calls };
         calls.fetch_add(1, Ordering::SeqCst);
     }
--- a/tests/support/stub_endpoint.rs
+++ b/tests/support/stub_endpoint.rs
@@ -1,6 +1,7 @@
 //! An endpoint that sends the responses that a test chooses.
 
 use super::http::{read_message, HttpMessage};
+use super::sockets::write_endlessly;
 use super::stub_discovery::list_entry;
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -18,6 +19,8 @@
     BytesThenClose(&'static [u8]),
     /// Writes these bytes and resets the connection.
     BytesThenReset(&'static [u8]),
+    /// Writes the first bytes once and the second ones again and again until the peer closes the connection.
+    Endless(&'static str, &'static str),
     /// Writes nothing and waits until the peer closes the connection.
     Silence,
     /// Closes the connection without a response.
@@ -141,6 +144,10 @@
             socket.set_linger(Some(Duration::ZERO)).expect("failed to set linger");
             AfterReply::Close
         }
+        Reply::Endless(first, repeated) => {
+            write_endlessly(stream.get_mut(), first, repeated);
+            AfterReply::Close
+        }
         Reply::Silence => {
             let _ = stream.read(&mut [0]);
             AfterReply::Close
