Limit the bytes of a response, interim responses and framing included

Cause: hyper limits one head and the extensions of chunks, and the node the body. Nothing limited how much comes that is neither: interim responses, and zeros ahead of a chunk size.

Fix: the stream of an attempt reads up to 64 KiB before the end of the head and 512 KiB after it, and fails after that. Every valid response fits: heads with interim responses of up to 32 KiB, and a body of 64 KiB in chunks of one byte, which has 384 KiB. So a retry begins after milliseconds, and the work for one attempt is bounded.

Tests: fails_response_with_more_bytes_than_a_valid_one; before, 4 MiB of interim responses ahead of a response were read to their end (Success).

--- a/src/bin/edge-gateway/upstream.rs
+++ b/src/bin/edge-gateway/upstream.rs
@@ -140,6 +140,7 @@
             };
             let outcome = match &error {
                 ExchangeError::InvalidResponse(_) => Outcome::InvalidResponse,
+                ExchangeError::TooLong(_) => Outcome::Error,
                 ExchangeError::Disconnected(_) if progress.may_have_executed() => Outcome::Reset,
                 // No byte was written, so another connection cannot send the request a second time.
                 ExchangeError::Disconnected(_) if is_reused => continue,
--- a/src/bin/edge-gateway/upstream/connection.rs
+++ b/src/bin/edge-gateway/upstream/connection.rs
@@ -1,11 +1,11 @@
 //! One connection to an endpoint.
 //!
-//! A connection counts the bytes written to it, checks whether it can carry another request, and counts
+//! A connection counts the bytes written to it, limits those read for one response, checks whether it can carry another request, and counts
 //! towards the limit on open connections. The pool decides when to reuse it.
 
 use crate::io::resilient_stream::ResilientStream;
 use crate::io::socket::has_unread_data;
-use crate::upstream::EndpointInstance;
+use crate::upstream::{EndpointInstance, MAX_BODY_SIZE};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
@@ -19,8 +19,14 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Maximum size of the head of a response, in bytes; bounds the memory that an endless head can take.
-const MAX_HEAD_SIZE: usize = 32 << 10;
+/// Maximum size of the head of a response, in bytes; bounds the memory that an endless head can take. Interim
+/// responses count towards it.
+pub const MAX_HEAD_SIZE: usize = 32 << 10;
+/// Maximum number of bytes read up to the end of a head. Part of the body may come with it in the last read,
+/// which is at most [`MAX_HEAD_SIZE`] long.
+const MAX_BYTES_OF_HEAD: u64 = 2 * MAX_HEAD_SIZE as u64;
+/// Maximum number of bytes read after a head. A body in chunks of one byte takes six times its size.
+const MAX_BYTES_OF_BODY: u64 = 8 * MAX_BODY_SIZE as u64;
 
 /// Whether the connection is being checked for reuse, which decides how unread data is treated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,6 +53,37 @@
     }
 }
 
+/// Number of bytes that may still be read for the part of a response that is due. Without a limit, an endpoint
+/// could send interim responses or the framing of chunks without end, which hyper skips.
+#[derive(Clone, Default)]
+pub struct ReadAllowance(Rc<Cell<u64>>);
+
+impl ReadAllowance {
+    /// Sets what may be read until the head of the next response is complete.
+    pub fn expect_head(&self) {
+        self.0.set(MAX_BYTES_OF_HEAD);
+    }
+
+    /// Sets what may be read after the head until the body is complete.
+    pub fn expect_body(&self) {
+        self.0.set(MAX_BYTES_OF_BODY);
+    }
+
+    /// Records a read, which may exceed what was left.
+    fn record_read(&self, bytes: u64) {
+        self.0.set(self.0.get().saturating_sub(bytes));
+    }
+
+    fn is_used_up(&self) -> bool {
+        self.0.get() == 0
+    }
+}
+
+/// The endpoint has sent more than any valid response has, by interim responses or the framing of the body.
+#[derive(Debug, thiserror::Error)]
+#[error("more data than any valid response has")]
+pub struct ResponseTooLong;
+
 /// Counts as one open connection of the pool until it is dropped.
 pub struct ConnectionPermit {
     open_connections: Rc<Cell<usize>>,
@@ -77,6 +114,8 @@
     pub bytes_written: ByteCounter,
     /// The instance of the endpoint that accepted the connection.
     pub instance: EndpointInstance,
+    /// What may still be read; set for each part of a response before it is due.
+    pub allowance: ReadAllowance,
     state: Rc<Cell<ConnectionState>>,
 }
 
@@ -91,16 +130,18 @@
         permit: ConnectionPermit,
     ) -> Result<Self, hyper::Error> {
         let bytes_written = ByteCounter::default();
+        let allowance = ReadAllowance::default();
         let state = Rc::new(Cell::new(ConnectionState::Unchecked));
         let stream = MeteredStream {
             stream: ResilientStream::new(stream),
             bytes_written: bytes_written.clone(),
+            allowance: allowance.clone(),
             state: state.clone(),
             _permit: permit,
         };
         let (sender, driver) =
             Builder::new().max_buf_size(MAX_HEAD_SIZE).handshake(TokioIo::new(stream)).await?;
-        Ok(Self { sender, driver, bytes_written, instance, state })
+        Ok(Self { sender, driver, bytes_written, instance, allowance, state })
     }
 
     /// Whether another request may be sent: the endpoint has not closed the connection, and everything that
@@ -115,10 +156,12 @@
     }
 }
 
-/// A stream that counts the bytes written to it and detects unsolicited data in an idle check.
+/// A stream that counts the bytes written to it, limits those read from it, and detects unsolicited data in an
+/// idle check.
 pub struct MeteredStream {
     stream: ResilientStream,
     bytes_written: ByteCounter,
+    allowance: ReadAllowance,
     state: Rc<Cell<ConnectionState>>,
     _permit: ConnectionPermit,
 }
@@ -133,7 +176,13 @@
         if self.state.get() == ConnectionState::IdleCheck && has_unread_data(self.stream.get_ref()) {
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        if self.allowance.is_used_up() {
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, ResponseTooLong)));
+        }
+        let before = buf.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        self.allowance.record_read((buf.filled().len() - before) as u64);
+        result
     }
 }
 
--- a/src/bin/edge-gateway/upstream/exchange.rs
+++ b/src/bin/edge-gateway/upstream/exchange.rs
@@ -56,9 +56,11 @@
     connection: &mut PooledConnection,
     request: Request<Full<Bytes>>,
 ) -> Result<Exchange, ExchangeError> {
-    let PooledConnection { sender, driver, .. } = connection;
+    let PooledConnection { sender, driver, allowance, .. } = connection;
     let response = async {
+        allowance.expect_head();
         let response = sender.send_request(request).await?;
+        allowance.expect_body();
         CompleteResponse::read(response).await
     };
     tokio::pin!(response);
--- a/src/bin/edge-gateway/upstream/response.rs
+++ b/src/bin/edge-gateway/upstream/response.rs
@@ -1,6 +1,7 @@
 //! Reads responses of endpoints, and derives the outcome of the attempt from them.
 
 use super::connect::ConnectError;
+use super::connection::ResponseTooLong;
 use crate::io::http_error::with_source;
 use bytes::Bytes;
 use edge_gateway::{LoadReport, Outcome};
@@ -84,6 +85,9 @@
     /// The received data is not a response that the node accepts.
     #[error("invalid response: {0}")]
     InvalidResponse(#[from] InvalidResponse),
+    /// The endpoint sends on without end, or far more than a response has.
+    #[error(transparent)]
+    TooLong(#[from] ResponseTooLong),
 }
 
 /// What is wrong with a response.
@@ -108,11 +112,15 @@
 
 impl From<hyper::Error> for ExchangeError {
     fn from(error: hyper::Error) -> Self {
+        let source = std::error::Error::source(&error).and_then(|e| e.downcast_ref::<io::Error>());
+        let inner = source.and_then(io::Error::get_ref);
+        if inner.and_then(|e| e.downcast_ref::<ResponseTooLong>()).is_some() {
+            return ResponseTooLong.into();
+        }
         // hyper reports a malformed chunk as a body error whose source has one of these kinds.
         let is_malformed = |error: &io::Error| {
             matches!(error.kind(), io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput)
         };
-        let source = std::error::Error::source(&error).and_then(|e| e.downcast_ref::<io::Error>());
         if error.is_parse() || source.is_some_and(is_malformed) {
             InvalidResponse::Malformed(error).into()
         } else {
--- a/src/bin/edge-gateway/upstream/tests.rs
+++ b/src/bin/edge-gateway/upstream/tests.rs
@@ -1,3 +1,4 @@
+use super::connection::MAX_HEAD_SIZE;
 use super::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -94,3 +95,61 @@
         server.abort();
     }
 }
+
+/// Sends one response on each connection: `first`, `repeated` this many times, and a final response.
+async fn respond_after(listener: TcpListener, first: &'static [u8], repeated: &'static [u8], count: usize) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let read = stream.read(&mut [0; 1024]).await.expect("the request is read");
+        assert!(read > 0);
+        // Fails once the node has closed the connection.
+        let _ = stream.write_all(&[first, &repeated.repeat(count), RESPONSE, b"x"].concat()).await;
+    }
+}
+
+// An endpoint that sent interim responses, or the framing of a body, without end held the attempt until its
+// timeout, and the node parsed as much as the endpoint could send.
+#[tokio::test]
+async fn fails_response_with_more_bytes_than_a_valid_one() {
+    const INTERIM: &[u8] = b"HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n";
+    const CHUNKED: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let endless = 4 << 20;
+    // What is sent first, what is repeated, how often, and the outcome.
+    let cases: [(&[u8], &[u8], usize, Outcome); 5] = [
+        (b"", INTERIM, 1, Outcome::Success),
+        (b"", INTERIM, MAX_HEAD_SIZE / INTERIM.len() - 1, Outcome::Success),
+        (b"", INTERIM, endless / INTERIM.len(), Outcome::Error),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n", endless / 25, Outcome::Error),
+        (CHUNKED, b"0", endless, Outcome::Error),
+    ];
+    for (first, repeated, count, outcome) in cases {
+        let (listener, instance) = listener().await;
+        let server = tokio::spawn(respond_after(listener, first, repeated, count));
+        let end = attempt(&pool(), instance).await;
+        assert_eq!(end.outcome, outcome, "{count} times {:?}", String::from_utf8_lossy(repeated));
+        server.abort();
+    }
+}
+
+// The limit is for one response: many on one connection together are longer.
+#[tokio::test(start_paused = true)]
+async fn accepts_many_long_responses_on_one_connection() {
+    let (listener, instance) = listener().await;
+    let body = vec![b'x'; MAX_BODY_SIZE];
+    // The longest framing in use: chunks of one byte.
+    let chunks = b"1\r\nx\r\n".repeat(MAX_BODY_SIZE);
+    let response =
+        [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", &*chunks, b"0\r\n\r\n"].concat();
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("the connection is accepted");
+        while stream.read(&mut [0; 1024]).await.is_ok_and(|read| read > 0) {
+            stream.write_all(&response).await.expect("the response is written");
+        }
+    });
+    let pool = pool();
+    for _ in 0..5 {
+        let end = attempt(&pool, instance).await;
+        assert_eq!((end.outcome, &*end.body), (Outcome::Success, &*body));
+        advance(CONNECTION_QUARANTINE).await;
+    }
+    server.abort();
+}
--- a/src/interface/outcome.rs
+++ b/src/interface/outcome.rs
@@ -7,7 +7,8 @@
 pub enum Outcome {
     /// The endpoint served the request.
     Success,
-    /// The endpoint answered with an error; the request may have been executed.
+    /// The endpoint answered with an error, or with far more data than a response has; the request may have
+    /// been executed.
     Error,
     /// The response was invalid; the request may have been executed. This says nothing about the endpoint's
     /// health.
--- a/tests/endless_input.rs
+++ b/tests/endless_input.rs
@@ -94,6 +94,29 @@
     }
 }
 
+// An attempt with an endless response ends early. If that did not count as a failure of the endpoint, it would
+// look faster than all others and get most requests.
+#[test]
+fn endpoint_with_endless_responses_is_ejected() {
+    const CLIENTS: usize = 8;
+    const REQUESTS_PER_CLIENT: usize = 20;
+    let endless = StubEndpoint::start(|_| Reply::Endless("", "HTTP/1.1 103 \r\n\r\n"));
+    let valid = StubEndpoint::start(|_| Reply::Delayed(Duration::from_millis(20)));
+    let node = start_node(&StubDiscovery::with_endpoints(&[endless.entry("a"), valid.entry("b")]));
+    std::thread::scope(|scope| {
+        for (client_number, mut client) in node.connect_many(CLIENTS).into_iter().enumerate() {
+            scope.spawn(move || {
+                for number in 0..REQUESTS_PER_CLIENT {
+                    let id = format!("r{client_number}-{number}");
+                    assert_eq!(client.send(&request_with("read", &id, "large", "1000m")).status(), 200);
+                }
+            });
+        }
+    });
+    // With two endpoints, one that seems equal gets half of the requests.
+    assert!(endless.request_count() < valid.request_count() / 2, "{} requests", endless.request_count());
+}
+
 // A client that sends without end while its request is open, or in place of a request, must not keep the node
 // in one poll either.
 #[test]
