Let endpoints and bad clients of the soak send without end

The soak had no peer that keeps sending: its invalid responses and bad requests were short, so a node that never left one poll was not seen. Two of ten responses of an endpoint under the fault InvalidResponse are now endless (interim responses, zeros of a chunk size), and two of eight defects of bad clients (a header, a chunk size).

--- a/lab/src/soak/client/bad.rs
+++ b/lab/src/soak/client/bad.rs
@@ -1,6 +1,7 @@
 //! Bad clients, which send malformed or incomplete requests.
 
 use super::Clients;
+use crate::soak::http::write_endlessly;
 use crate::soak::node::Node;
 use crate::soak::oracle::{Occurrence, Rule};
 use rand::rngs::StdRng;
@@ -29,15 +30,19 @@
     NegativeUnits,
     TwoLengths,
     Empty,
+    EndlessHeader,
+    EndlessChunkSize,
 }
 
-const DEFECTS: [Defect; 6] = [
+const DEFECTS: [Defect; 8] = [
     Defect::NotHttp,
     Defect::Incomplete,
     Defect::UnknownClass,
     Defect::NegativeUnits,
     Defect::TwoLengths,
     Defect::Empty,
+    Defect::EndlessHeader,
+    Defect::EndlessChunkSize,
 ];
 
 impl Defect {
@@ -53,6 +58,19 @@
                 text.replace("Host:", lengths).into_bytes()
             }
             Self::Empty => Vec::new(),
+            Self::EndlessHeader => format!("{}X-Pad: ", head_lines(text)).into_bytes(),
+            Self::EndlessChunkSize => {
+                format!("{}Transfer-Encoding: chunked\r\n\r\n", head_lines(text)).into_bytes()
+            }
+        }
+    }
+
+    /// What is sent again and again behind the request, as fast as the node reads it.
+    fn endless_input(self) -> Option<&'static [u8]> {
+        match self {
+            Self::EndlessHeader => Some(b"p"),
+            Self::EndlessChunkSize => Some(b"0"),
+            _ => None,
         }
     }
 
@@ -62,6 +80,11 @@
     }
 }
 
+/// Returns the request line and the headers, without the empty line that ends them.
+fn head_lines(text: &str) -> &str {
+    text.find("\r\n\r\n").map_or(text, |end| &text[..end + "\r\n".len()])
+}
+
 impl Clients {
     /// Runs one client that sends bad requests until the run is over.
     pub async fn run_bad_client(self: Arc<Self>, mut rng: StdRng) {
@@ -80,7 +103,7 @@
         let defect = DEFECTS[rng.random_range(0..DEFECTS.len())];
         let bytes = defect.apply(&text, rng);
         let limit = BAD_CLIENT_TIMEOUT + SCHEDULING_TOLERANCE;
-        let ended = timeout(limit, exchange(node, &bytes, defect.is_incomplete())).await;
+        let ended = timeout(limit, exchange(node, &bytes, defect)).await;
         let same_process = !node.was_killed(incarnation) && node.incarnation() == incarnation;
         if ended.is_err() && same_process {
             let detail = format!(
@@ -93,15 +116,23 @@
     }
 }
 
-/// Writes a bad request and waits for the first bytes of a response, or with `until_closed` for the end of
-/// the connection.
-async fn exchange(node: &Node, bytes: &[u8], until_closed: bool) -> io::Result<()> {
+/// Writes a bad request and waits for the first bytes of a response, or for the end of the connection if the
+/// node waits for further bytes.
+async fn exchange(node: &Node, bytes: &[u8], defect: Defect) -> io::Result<()> {
     const BUFFER_BYTES: usize = 1024;
     let mut stream = TcpStream::connect(node.address).await?;
-    stream.write_all(bytes).await?;
     let mut buffer = [0; BUFFER_BYTES];
+    if let Some(repeated) = defect.endless_input() {
+        let (mut reader, mut writer) = stream.split();
+        tokio::select! {
+            read = reader.read(&mut buffer) => { read?; }
+            () = write_endlessly(&mut writer, bytes, repeated) => {}
+        }
+        return Ok(());
+    }
+    stream.write_all(bytes).await?;
     while stream.read(&mut buffer).await? > 0 {
-        if !until_closed {
+        if !defect.is_incomplete() {
             break;
         }
     }
--- a/lab/src/soak/endpoint.rs
+++ b/lab/src/soak/endpoint.rs
@@ -1,7 +1,7 @@
 //! The endpoints of the soak. Each serves requests behind a proxy, can be restarted, and can be made to
 //! respond with a fault.
 
-use super::http::{read_message, Message};
+use super::http::{read_message, write_endlessly, Message};
 use super::oracle::{response_body, Oracle, ReceivedAttempt};
 use super::proxy::Proxy;
 use super::settings::Parameters;
@@ -122,9 +122,13 @@
             let Some(attempt) = self.parse_attempt(&request) else { return };
             let Some(index) = self.oracle.attempt_received(&attempt) else { return };
             let response = self.respond(&attempt.request).await;
-            let written = match &response.bytes {
-                Some(bytes) => stream.write_all(bytes).await.is_ok(),
-                None => {
+            let written = match &response.content {
+                Content::Bytes(bytes) => stream.write_all(bytes).await.is_ok(),
+                Content::Endless { first, repeated } => {
+                    write_endlessly(&mut stream, first.as_bytes(), repeated.as_bytes()).await;
+                    false
+                }
+                Content::Nothing => {
                     // Keeps the connection open until the node closes it or sends something.
                     let _ = stream.read(&mut [0]).await;
                     false
@@ -178,10 +182,19 @@
     }
 }
 
+/// What an endpoint writes in response to a request.
+enum Content {
+    /// These bytes.
+    Bytes(Vec<u8>),
+    /// The first bytes once, then the repeated ones as fast as the node reads them.
+    Endless { first: &'static str, repeated: &'static str },
+    /// Nothing: the endpoint hangs.
+    Nothing,
+}
+
 /// A response of an endpoint.
 struct Response {
-    /// Bytes to write; `None` if the endpoint hangs.
-    bytes: Option<Vec<u8>>,
+    content: Content,
     /// Whether the request was rejected without execution.
     is_rejection: bool,
     closes_connection: bool,
@@ -189,7 +202,8 @@
 
 impl Response {
     fn new(bytes: impl Into<String>) -> Self {
-        Self { bytes: Some(bytes.into().into_bytes()), is_rejection: false, closes_connection: false }
+        let content = Content::Bytes(bytes.into().into_bytes());
+        Self { content, is_rejection: false, closes_connection: false }
     }
 
     fn rejection() -> Self {
@@ -198,7 +212,7 @@
     }
 
     fn hang() -> Self {
-        Self { bytes: None, is_rejection: false, closes_connection: true }
+        Self { content: Content::Nothing, is_rejection: false, closes_connection: true }
     }
 
     /// Returns the response to an executed request under a fault. `draw` selects among the fault's responses.
@@ -220,7 +234,12 @@
         }
     }
 
-    /// Returns one of five unusual or invalid responses for a draw below 5, and otherwise the valid response.
+    fn endless(first: &'static str, repeated: &'static str) -> Self {
+        let content = Content::Endless { first, repeated };
+        Self { content, is_rejection: false, closes_connection: true }
+    }
+
+    /// Returns one of seven unusual or invalid responses for a draw below 7, and otherwise the valid response.
     fn invalid(draw: u32, valid: String) -> Self {
         Self::new(match draw {
             0 => "noise\r\n\r\n".to_owned(),
@@ -228,6 +247,8 @@
             2 => valid.replace("Api-Usage: 40", "Api-Usage: none"),
             3 => format!("HTTP/1.1 103 Early Hints\r\n\r\n{valid}"),
             4 => "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx".to_owned(),
+            5 => return Self::endless("", "HTTP/1.1 103 \r\n\r\n"),
+            6 => return Self::endless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"),
             _ => valid,
         })
     }
--- a/lab/src/soak/http.rs
+++ b/lab/src/soak/http.rs
@@ -1,9 +1,15 @@
 //! The subset of HTTP/1.1 that the clients, endpoints and discovery agents of the soak need.
 
 use std::io;
-use std::time::Instant;
-use tokio::io::{AsyncBufRead, AsyncBufReadExt, AsyncReadExt, BufReader};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncBufRead, AsyncBufReadExt, AsyncReadExt, AsyncWrite, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Time after which an endless message is broken off, longer than any node should take to close its connection.
+const MAX_ENDLESS_DURATION: Duration = Duration::from_secs(4);
+/// Minimum size of one write of an endless message, in bytes.
+const ENDLESS_WRITE_SIZE: usize = 16 << 10;
 
 /// A complete request or response.
 #[derive(Clone, Debug)]
@@ -99,3 +105,17 @@
     }
     Ok(line.trim_end().to_owned())
 }
+
+/// Writes `first` once and `repeated` again and again, as fast as the peer reads, until the peer closes the
+/// connection or [`MAX_ENDLESS_DURATION`] is over.
+pub async fn write_endlessly<W: AsyncWrite + Unpin>(stream: &mut W, first: &[u8], repeated: &[u8]) {
+    let block = repeated.repeat(ENDLESS_WRITE_SIZE.div_ceil(repeated.len()));
+    let write = async {
+        let mut result = stream.write_all(first).await;
+        while result.is_ok() {
+            result = stream.write_all(&block).await;
+        }
+    };
+    // Without an error by then, the caller closes the connection.
+    let _ = timeout(MAX_ENDLESS_DURATION, write).await;
+}
