--- a/src/bin/edge-gateway/io/resilient_stream.rs
+++ b/src/bin/edge-gateway/io/resilient_stream.rs
@@ -12,7 +12,7 @@
 const READ_SIZE: usize = 4 << 10;
 /// Number of bytes read or written that use up one unit of the runtime's budget for a poll of a task. The
 /// runtime itself counts calls, whatever their size.
-const BYTES_PER_BUDGET_UNIT: usize = 1 << 10;
+const BYTES_PER_BUDGET_UNIT: usize = 256;
 
 /// A stream that continues after a system call was interrupted (`EINTR`) or transferred fewer bytes than it
 /// could have.
