Give the task budget, the read allowance and the metered stream modules of their own

`upstream/connection.rs` held five types and `io/resilient_stream.rs` two jobs. What the user of a connection shares with its stream is one type now, StreamMeter, in place of three fields passed one by one; the state of the idle check, an enum of two values, is a flag of it. WriteStart, whose name needed its comment, is RequestOffset. The error about a Transfer-Encoding tells the value. No change of behaviour.

--- a/src/bin/edge-gateway/io.rs
+++ b/src/bin/edge-gateway/io.rs
@@ -7,3 +7,4 @@
 pub mod resilient_stream;
 pub mod resource_exhaustion;
 pub mod socket;
+pub mod task_budget;
--- a/src/bin/edge-gateway/io/resilient_stream.rs
+++ b/src/bin/edge-gateway/io/resilient_stream.rs
@@ -1,19 +1,15 @@
 //! A TCP stream that tolerates interrupted and short reads and writes.
 
+use crate::io::task_budget;
 use socket2::SockRef;
 use std::io::{self, ErrorKind, Read, Write};
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::task::coop::{has_budget_remaining, poll_proceed};
 
 /// Maximum size of a read that bypasses the runtime, in bytes.
 const READ_SIZE: usize = 4 << 10;
-/// Number of bytes read or written that use up one unit of the runtime's budget for a poll of a task. The
-/// runtime itself counts calls, whatever their size.
-const BYTES_PER_BUDGET_UNIT: usize = 256;
-
 /// A stream that continues after a system call was interrupted (`EINTR`) or transferred fewer bytes than it
 /// could have.
 ///
@@ -21,9 +17,8 @@
 /// next readiness event. If the assumption is wrong, that event never comes. So the call after a short
 /// transfer bypasses the runtime and is made on the socket itself.
 ///
-/// All transfers count towards the runtime's budget for a poll of a task, by their bytes. Once it is used up,
-/// calls are pending and the task is polled again after the others. So a task yields, even one that never
-/// finds the socket's buffer empty or full.
+/// All transfers count towards the [budget](crate::io::task_budget) of a task. Once it is used up, calls are
+/// pending, so that the task yields even if it never finds the socket's buffer empty or full.
 pub struct ResilientStream {
     stream: TcpStream,
     /// Whether the last read was short, so that there may be more data.
@@ -77,24 +72,6 @@
     }
 }
 
-/// Pending if the runtime's budget for this poll of the task is used up. The task is then polled again.
-fn poll_budget(cx: &mut Context<'_>) -> Poll<()> {
-    // The unit is given back at once: `use_budget` takes as many as the transfer needs.
-    poll_proceed(cx).map(drop)
-}
-
-/// Uses up the part of the budget that a transfer of this size takes.
-fn use_budget(cx: &mut Context<'_>, bytes: usize) {
-    for _ in 0..bytes.div_ceil(BYTES_PER_BUDGET_UNIT) {
-        if !has_budget_remaining() {
-            return;
-        }
-        if let Poll::Ready(unit) = poll_proceed(cx) {
-            unit.made_progress();
-        }
-    }
-}
-
 /// Makes a non-blocking call, and repeats it while it is interrupted. Returns `None` if it would block.
 pub fn retry_interrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> Option<io::Result<T>> {
     loop {
@@ -116,7 +93,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        ready!(poll_budget(cx));
+        ready!(task_budget::poll_remaining(cx));
         let before = buf.filled().len();
         let bypassed = if self.read_was_short { self.try_read(buf) } else { None };
         let bypasses_runtime = bypassed.is_some();
@@ -125,7 +102,7 @@
             None => self.poll_runtime_read(cx, buf),
         };
         let read = buf.filled().len() - before;
-        use_budget(cx, read);
+        task_budget::consume(cx, read);
         // The runtime is unaware of a read that bypasses it, so there may be more data even if it filled `buf`.
         self.read_was_short = read > 0 && (bypasses_runtime || buf.remaining() > 0);
         result
@@ -134,7 +111,7 @@
 
 impl AsyncWrite for ResilientStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        ready!(poll_budget(cx));
+        ready!(task_budget::poll_remaining(cx));
         // The runtime is unaware of a write that bypasses it, and still assumes that the socket is full. It is
         // bypassed until the socket really is full, since only then a readiness event follows.
         let bypassed = if self.write_was_short { self.try_write(bytes) } else { None };
@@ -144,7 +121,7 @@
             None => self.poll_runtime_write(cx, bytes),
         };
         let written = if let Poll::Ready(Ok(written)) = &result { *written } else { 0 };
-        use_budget(cx, written);
+        task_budget::consume(cx, written);
         let is_short = matches!(result, Poll::Ready(Ok(_))) && written < bytes.len();
         self.write_was_short = bypasses_runtime || is_short;
         result
--- /dev/null
+++ b/src/bin/edge-gateway/io/task_budget.rs
@@ -0,0 +1,28 @@
+//! The runtime's budget for one poll of a task, used up by the bytes that the task transfers.
+//!
+//! The runtime itself counts only its own calls, whatever their size. A task whose peer always has data would
+//! otherwise hold the thread.
+
+use std::task::{Context, Poll};
+use tokio::task::coop::{has_budget_remaining, poll_proceed};
+
+/// Number of bytes read or written that use up one unit of the budget. A poll has 128 units.
+const BYTES_PER_UNIT: usize = 256;
+
+/// Pending if the budget for this poll of the task is used up. The task is then polled again after the others.
+pub fn poll_remaining(cx: &mut Context<'_>) -> Poll<()> {
+    // The unit is given back at once: `consume` takes as many as the transfer needs.
+    poll_proceed(cx).map(drop)
+}
+
+/// Uses up the part of the budget that a transfer of this many bytes takes, or what is left of it.
+pub fn consume(cx: &mut Context<'_>, bytes: usize) {
+    for _ in 0..bytes.div_ceil(BYTES_PER_UNIT) {
+        if !has_budget_remaining() {
+            return;
+        }
+        if let Poll::Ready(unit) = poll_proceed(cx) {
+            unit.made_progress();
+        }
+    }
+}
--- a/src/bin/edge-gateway/upstream.rs
+++ b/src/bin/edge-gateway/upstream.rs
@@ -7,6 +7,8 @@
 mod connect;
 mod connection;
 mod exchange;
+mod metered_stream;
+mod read_allowance;
 mod reset_rate;
 mod response;
 
@@ -127,7 +129,7 @@
             // While connecting, the client may have disconnected, the endpoint may have started to drain or
             // have been replaced, or the attempt may have run out of time.
             let Some(request) = request() else { return AttemptEnd::without_response(Outcome::NotSent) };
-            progress.record_write_start(&connection);
+            progress.record_request_offset(&connection);
             let result = exchange(&mut connection, request).await;
             if is_reused && progress.may_have_executed() {
                 self.reset_rate.record(matches!(result, Err(ExchangeError::Disconnected(_))));
--- a/src/bin/edge-gateway/upstream/exchange.rs
+++ b/src/bin/edge-gateway/upstream/exchange.rs
@@ -3,7 +3,8 @@
 //! This module tracks whether any byte of the request was written. The pool decides what follows from a
 //! failed exchange.
 
-use super::connection::{ByteCounter, PooledConnection};
+use super::connection::PooledConnection;
+use super::metered_stream::ByteCounter;
 use super::response::{CompleteResponse, ExchangeError};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -13,30 +14,31 @@
 /// Progress of an attempt; tells whoever aborts the attempt whether its request may have been executed.
 #[derive(Default)]
 pub struct AttemptProgress {
-    write_start: RefCell<Option<WriteStart>>,
+    /// `None` until the request is about to be written.
+    request_offset: RefCell<Option<RequestOffset>>,
 }
 
-/// Tells whether the attempt has written anything to its connection.
-struct WriteStart {
+/// Where the request of an attempt begins among the bytes written to its connection.
+struct RequestOffset {
     /// The connection's counter of written bytes, which continues to count.
     bytes_written: ByteCounter,
     /// Value of the counter just before the request was written.
-    bytes_before: u64,
+    offset: u64,
 }
 
 impl AttemptProgress {
     /// Whether any byte of the request has been written, after which the endpoint may have executed it. The
     /// last byte is not tracked: a request is written in one piece, so this would rarely make a difference.
     pub fn may_have_executed(&self) -> bool {
-        let write_start = self.write_start.borrow();
-        write_start.as_ref().is_some_and(|start| start.bytes_written.get() > start.bytes_before)
+        let request_offset = self.request_offset.borrow();
+        request_offset.as_ref().is_some_and(|request| request.bytes_written.get() > request.offset)
     }
 
     /// Records that the request is about to be written to a connection.
-    pub fn record_write_start(&self, connection: &PooledConnection) {
-        let bytes_written = connection.bytes_written.clone();
-        let bytes_before = bytes_written.get();
-        *self.write_start.borrow_mut() = Some(WriteStart { bytes_written, bytes_before });
+    pub fn record_request_offset(&self, connection: &PooledConnection) {
+        let bytes_written = connection.meter.bytes_written.clone();
+        let offset = bytes_written.get();
+        *self.request_offset.borrow_mut() = Some(RequestOffset { bytes_written, offset });
     }
 }
 
@@ -56,11 +58,11 @@
     connection: &mut PooledConnection,
     request: Request<Full<Bytes>>,
 ) -> Result<Exchange, ExchangeError> {
-    let PooledConnection { sender, driver, allowance, .. } = connection;
+    let PooledConnection { sender, driver, meter, .. } = connection;
     let response = async {
-        allowance.expect_head();
+        meter.allowance.expect_head();
         let response = sender.send_request(request).await?;
-        allowance.expect_body();
+        meter.allowance.expect_body();
         CompleteResponse::read(response).await
     };
     tokio::pin!(response);
--- a/src/bin/edge-gateway/upstream/response.rs
+++ b/src/bin/edge-gateway/upstream/response.rs
@@ -1,7 +1,7 @@
 //! Reads responses of endpoints, and derives the outcome of the attempt from them.
 
 use super::connect::ConnectError;
-use super::connection::ResponseTooLong;
+use super::read_allowance::ResponseTooLong;
 use crate::io::http_error::with_source;
 use bytes::Bytes;
 use edge_gateway::{LoadReport, Outcome};
@@ -100,8 +100,8 @@
     #[error("unexpected status {0}")]
     UnexpectedStatus(StatusCode),
     /// The node cannot tell where a body with this encoding ends.
-    #[error("Transfer-Encoding is not 'chunked' alone")]
-    UnsupportedTransferEncoding,
+    #[error("Transfer-Encoding is not 'chunked' alone: {0:?}")]
+    UnsupportedTransferEncoding(HeaderValue),
     /// The body could have two different ends: at its length, or after its last chunk.
     #[error("Transfer-Encoding and Content-Length are both present")]
     ConflictingLength,
@@ -195,14 +195,17 @@
 fn check_framing(headers: &HeaderMap) -> Result<(), InvalidResponse> {
     let has_length = headers.contains_key(CONTENT_LENGTH);
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
-    let is_chunked = codings.next().map(|value| value.as_bytes().eq_ignore_ascii_case(b"chunked"));
-    match is_chunked {
-        // The body ends at its length or, without one, when the endpoint closes the connection. A reset does
-        // not count as that: reading the body fails.
-        None => Ok(()),
-        Some(_) if has_length => Err(InvalidResponse::ConflictingLength),
-        Some(true) if codings.next().is_none() => Ok(()),
-        Some(_) => Err(InvalidResponse::UnsupportedTransferEncoding),
+    // Without a coding, the body ends at its length or, without one, when the endpoint closes the connection. A
+    // reset does not count as that: reading the body fails.
+    let Some(first) = codings.next() else { return Ok(()) };
+    if has_length {
+        return Err(InvalidResponse::ConflictingLength);
+    }
+    let is_chunked = |coding: &HeaderValue| coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+    match codings.next() {
+        None if is_chunked(first) => Ok(()),
+        None => Err(InvalidResponse::UnsupportedTransferEncoding(first.clone())),
+        Some(second) => Err(InvalidResponse::UnsupportedTransferEncoding(second.clone())),
     }
 }
 
--- a/src/bin/edge-gateway/upstream/tests.rs
+++ b/src/bin/edge-gateway/upstream/tests.rs
@@ -1,4 +1,4 @@
-use super::connection::MAX_HEAD_SIZE;
+use super::read_allowance::MAX_HEAD_SIZE;
 use super::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
