--- a/src/bin/edge-gateway/io/resilient_stream.rs
+++ b/src/bin/edge-gateway/io/resilient_stream.rs
@@ -103,7 +103,7 @@
         };
         let read = buf.filled().len() - before;
         task_budget::consume(cx, read);
-        // The runtime is unaware of a read that bypasses it, so there may be more data even if it filled `buf`.
+        // The runtime is unaware of a read that bypasses it, so more data may follow even if `buf` is full.
         self.read_was_short = read > 0 && (bypasses_runtime || buf.remaining() > 0);
         result
     }
@@ -112,8 +112,8 @@
 impl AsyncWrite for ResilientStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         ready!(task_budget::poll_remaining(cx));
-        // The runtime is unaware of a write that bypasses it, and still assumes that the socket is full. It is
-        // bypassed until the socket really is full, since only then a readiness event follows.
+        // The runtime is unaware of a write that bypasses it, and still assumes that the socket is full. It
+        // is bypassed until the socket really is full, since only then a readiness event follows.
         let bypassed = if self.write_was_short { self.try_write(bytes) } else { None };
         let bypasses_runtime = bypassed.is_some();
         let result = match bypassed {
--- a/src/bin/edge-gateway/io/task_budget.rs
+++ b/src/bin/edge-gateway/io/task_budget.rs
@@ -9,7 +9,7 @@
 /// Number of bytes read or written that use up one unit of the budget. A poll has 128 units.
 const BYTES_PER_UNIT: usize = 256;
 
-/// Pending if the budget for this poll of the task is used up. The task is then polled again after the others.
+/// Pending if the budget for this poll of the task is used up. The task is polled again after the others.
 pub fn poll_remaining(cx: &mut Context<'_>) -> Poll<()> {
     // The unit is given back at once: `consume` takes as many as the transfer needs.
     poll_proceed(cx).map(drop)
--- a/src/bin/edge-gateway/upstream/connection.rs
+++ b/src/bin/edge-gateway/upstream/connection.rs
@@ -1,7 +1,7 @@
 //! One connection to an endpoint.
 //!
-//! A connection checks whether it can carry another request, and counts towards the limit on open connections.
-//! The pool decides when to reuse it.
+//! A connection checks whether it can carry another request, and counts towards the limit on open
+//! connections. The pool decides when to reuse it.
 
 use super::metered_stream::{MeteredStream, StreamMeter};
 use super::read_allowance::MAX_HEAD_SIZE;
--- a/src/bin/edge-gateway/upstream/metered_stream.rs
+++ b/src/bin/edge-gateway/upstream/metered_stream.rs
@@ -34,13 +34,13 @@
     pub bytes_written: ByteCounter,
     /// What may still be read; set for each part of a response before it is due.
     pub allowance: ReadAllowance,
-    /// Whether the idle connection is being checked for reuse. No response is due then, so that any unread data
-    /// is unsolicited. Otherwise it is read as the response to the request that the connection carries.
+    /// Whether the idle connection is being checked for reuse. No response is due then, so any unread data is
+    /// unsolicited. Otherwise it is read as the response to the request that the connection carries.
     pub is_idle_check: Rc<Cell<bool>>,
 }
 
-/// A stream that counts the bytes written to it, limits those read from it, and detects unsolicited data in an
-/// idle check.
+/// A stream that counts the bytes written to it, limits those read from it, and detects unsolicited data in
+/// an idle check.
 pub struct MeteredStream {
     stream: ResilientStream,
     meter: StreamMeter,
--- a/src/bin/edge-gateway/upstream/response.rs
+++ b/src/bin/edge-gateway/upstream/response.rs
@@ -195,8 +195,8 @@
 fn check_framing(headers: &HeaderMap) -> Result<(), InvalidResponse> {
     let has_length = headers.contains_key(CONTENT_LENGTH);
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
-    // Without a coding, the body ends at its length or, without one, when the endpoint closes the connection. A
-    // reset does not count as that: reading the body fails.
+    // Without a coding, the body ends at its length or, without one, when the endpoint closes the connection.
+    // A reset does not count as that: reading the body fails.
     let Some(first) = codings.next() else { return Ok(()) };
     if has_length {
         return Err(InvalidResponse::ConflictingLength);
