--- a/src/bin/edge-gateway/io/task_budget.rs
+++ b/src/bin/edge-gateway/io/task_budget.rs
@@ -1,7 +1,7 @@
 //! The runtime's budget for one poll of a task, used up by the bytes that the task transfers.
 //!
-//! The runtime itself counts only its own calls, whatever their size. A task whose peer always has data would
-//! otherwise hold the thread.
+//! The runtime counts its own calls only, each as one unit. Without this, a task whose peer always has data
+//! would never yield.
 
 use std::task::{Context, Poll};
 use tokio::task::coop::{has_budget_remaining, poll_proceed};
@@ -11,7 +11,7 @@
 
 /// Pending if the budget for this poll of the task is used up. The task is polled again after the others.
 pub fn poll_remaining(cx: &mut Context<'_>) -> Poll<()> {
-    // The unit is given back at once: `consume` takes as many as the transfer needs.
+    // Dropping the unit returns it to the budget. `consume` takes the units of the transfer.
     poll_proceed(cx).map(drop)
 }
 
--- a/src/bin/edge-gateway/upstream/connection.rs
+++ b/src/bin/edge-gateway/upstream/connection.rs
@@ -43,7 +43,7 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// Reads from and writes to the socket while it is polled.
     pub driver: Connection<TokioIo<MeteredStream>, Full<Bytes>>,
-    /// What is observed and controlled of the stream, which `driver` owns.
+    /// Observes and limits the stream, which `driver` owns.
     pub meter: StreamMeter,
     /// The instance of the endpoint that accepted the connection.
     pub instance: EndpointInstance,
--- a/src/bin/edge-gateway/upstream/metered_stream.rs
+++ b/src/bin/edge-gateway/upstream/metered_stream.rs
@@ -27,12 +27,12 @@
     }
 }
 
-/// What the user of a connection shares with its stream, which hyper owns.
+/// State that the user of a connection shares with the stream, which hyper owns.
 #[derive(Clone, Default)]
 pub struct StreamMeter {
     /// Bytes written to the socket so far, which tell whether any of a request was sent.
     pub bytes_written: ByteCounter,
-    /// What may still be read; set for each part of a response before it is due.
+    /// Limits what is read; set for each part of a response before that part is due.
     pub allowance: ReadAllowance,
     /// Whether the idle connection is being checked for reuse. No response is due then, so any unread data is
     /// unsolicited. Otherwise it is read as the response to the request that the connection carries.
--- a/src/bin/edge-gateway/upstream/read_allowance.rs
+++ b/src/bin/edge-gateway/upstream/read_allowance.rs
@@ -1,7 +1,7 @@
-//! Limits how much is read for one response, whatever the endpoint sends.
+//! Limits the number of bytes that are read for one response.
 //!
-//! hyper limits the size of one head, and the reader of the response that of the body. Neither limits interim
-//! responses and the framing of chunks, which hyper skips.
+//! hyper limits the size of one head, and [`CompleteResponse`](super::response::CompleteResponse) that of the
+//! body. Neither limits interim responses and the framing of chunks, which hyper skips.
 
 use super::response::MAX_BODY_SIZE;
 use std::cell::Cell;
--- a/src/bin/edge-gateway/upstream/tests.rs
+++ b/src/bin/edge-gateway/upstream/tests.rs
@@ -106,14 +106,14 @@
     }
 }
 
-// An endpoint that sent interim responses, or the framing of a body, without end held the attempt until its
-// timeout, and the node parsed as much as the endpoint could send.
+// Endless interim responses, or an endless chunk size, occupied the attempt until its timeout. Meanwhile the
+// node parsed all data that the endpoint could send.
 #[tokio::test]
 async fn fails_response_with_more_bytes_than_a_valid_one() {
     const INTERIM: &[u8] = b"HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n";
     const CHUNKED: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     let endless = 4 << 20;
-    // What is sent first, what is repeated, how often, and the outcome.
+    // The first bytes, the repeated bytes, the number of repetitions, and the outcome.
     let cases: [(&[u8], &[u8], usize, Outcome); 5] = [
         (b"", INTERIM, 1, Outcome::Success),
         (b"", INTERIM, MAX_HEAD_SIZE / INTERIM.len() - 1, Outcome::Success),
