--- a/src/bin/edge-gateway/client/request_head.rs
+++ b/src/bin/edge-gateway/client/request_head.rs
@@ -30,6 +30,7 @@
 const MAX_ID_LENGTH: usize = 64;
 /// Maximum length of an idempotency key, in bytes.
 const MAX_KEY_LENGTH: usize = 128;
+
 /// The reason why a request head is invalid. The message is the body of the response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum RequestHeadError {
--- a/src/bin/edge-gateway/io/resilient_stream.rs
+++ b/src/bin/edge-gateway/io/resilient_stream.rs
@@ -10,6 +10,7 @@
 
 /// Maximum size of a read that bypasses the runtime, in bytes.
 const READ_SIZE: usize = 4 << 10;
+
 /// A stream that continues after a system call was interrupted (`EINTR`) or transferred fewer bytes than it
 /// could have.
 ///
