Read each body into one buffer, so that small pieces take no more than their bytes

Cause: hyper hands out a body in pieces, each a slice of the read buffer that it was read into. `Limited::collect` kept the slices until the body was complete, and with each its buffer, since a buffer of which a part is in use cannot be used again. Two other hypotheses were ruled out by the sizes of pieces (probe, 60 clients, 64 KiB each, memory above idle): pieces of 200 bytes 75 MB, of 1,000 bytes 23 MB, of 4,000 bytes 11 MB, that is 4.0, 6.2 and 10.9 KB a piece, for the same bytes. Read-ahead holds bytes, not pieces, and starts only behind a complete request; a leak of the allocator would not follow the size of the pieces. The same code read responses: 60,000 bytes in chunks of one byte took 1.2 MB each (probe).

Change: `io/body.rs` copies each piece into one buffer and lets go of it. The buffer doubles up to the announced length. Requests and responses use it.

The bound is the bytes of the bodies and 64 KiB for each connection. RequestError::MalformedBody is gone: no error led to it.

--- a/src/bin/edge-gateway/client/request.rs
+++ b/src/bin/edge-gateway/client/request.rs
@@ -4,14 +4,13 @@
 use crate::client::connection::REQUEST_TIMEOUT;
 use crate::client::request_head::{RequestHeadError, RequestHeadParser};
 use crate::dispatcher::{ClientRequest, UpstreamRequest};
+use crate::io::body::{self, BodyError};
 use crate::upstream::MAX_BODY_SIZE;
 use bytes::Bytes;
 use edge_gateway::{duration_from_millis, Millis};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderName};
 use hyper::{HeaderMap, Method, Request, StatusCode};
-use std::error::Error;
 use tokio::time::{timeout, Instant};
 
 /// The reason why a request is not passed to the dispatcher. The message is the body of the response.
@@ -32,9 +31,6 @@
     /// The body was not complete within [`REQUEST_TIMEOUT`] or the client's deadline.
     #[error("the body did not come in time")]
     BodyTimeout,
-    /// Reading the body failed for a reason other than its length or the connection.
-    #[error("the body is malformed")]
-    MalformedBody,
     /// The client disconnected after its request was complete and before it was passed on.
     #[error("the client has left")]
     ClientDisconnected,
@@ -46,6 +42,15 @@
     Connection(hyper::Error),
 }
 
+impl From<BodyError> for RequestError {
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::TooLong(_) => RequestError::BodyTooLarge,
+            BodyError::Http(error) => RequestError::Connection(error),
+        }
+    }
+}
+
 impl RequestError {
     /// Returns the status code of the response that reports this error.
     pub fn status(&self) -> StatusCode {
@@ -56,7 +61,6 @@
             RequestError::DuplicateId => StatusCode::CONFLICT,
             RequestError::InvalidHead(_)
             | RequestError::UnexpectedBody
-            | RequestError::MalformedBody
             | RequestError::ClientDisconnected
             | RequestError::Connection(_) => StatusCode::BAD_REQUEST,
         }
@@ -116,25 +120,11 @@
     client_timeout: Millis,
     reading_since: Instant,
 ) -> Result<Bytes, RequestError> {
-    if body.size_hint().lower() > MAX_BODY_SIZE as u64 {
-        return Err(RequestError::BodyTooLarge);
-    }
     let time_left =
         duration_from_millis(client_timeout).min(REQUEST_TIMEOUT.saturating_sub(reading_since.elapsed()));
-    match timeout(time_left, Limited::new(body, MAX_BODY_SIZE).collect()).await {
+    match timeout(time_left, body::read_body(body, MAX_BODY_SIZE)).await {
         Err(_) => Err(RequestError::BodyTimeout),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) => Err(body_error(error)),
-    }
-}
-
-fn body_error(error: Box<dyn Error + Send + Sync>) -> RequestError {
-    if error.is::<LengthLimitError>() {
-        return RequestError::BodyTooLarge;
-    }
-    match error.downcast::<hyper::Error>() {
-        Ok(error) => RequestError::Connection(*error),
-        Err(_) => RequestError::MalformedBody,
+        Ok(body) => Ok(body?),
     }
 }
 
--- a/src/bin/edge-gateway/upstream/response.rs
+++ b/src/bin/edge-gateway/upstream/response.rs
@@ -2,11 +2,11 @@
 
 use super::connect::ConnectError;
 use super::read_allowance::ResponseTooLong;
+use crate::io::body::{read_body, BodyError};
 use crate::io::http_error::with_source;
 use bytes::Bytes;
 use edge_gateway::{LoadReport, Outcome};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Response, StatusCode};
 use serde::Deserialize;
@@ -129,6 +129,15 @@
     }
 }
 
+impl From<BodyError> for ExchangeError {
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::TooLong(_) => InvalidResponse::BodyTooLarge.into(),
+            BodyError::Http(error) => error.into(),
+        }
+    }
+}
+
 /// A response that has been read to its end.
 pub struct CompleteResponse {
     status: StatusCode,
@@ -148,17 +157,8 @@
         if parts.status.is_informational() {
             return Err(InvalidResponse::UnexpectedStatus(parts.status).into());
         }
-        if body.size_hint().lower() > MAX_BODY_SIZE as u64 {
-            return Err(InvalidResponse::BodyTooLarge.into());
-        }
-        let body = Limited::new(body, MAX_BODY_SIZE).collect().await.map_err(|error| {
-            match error.downcast::<hyper::Error>() {
-                Ok(error) => ExchangeError::from(*error),
-                // The only other error is that of `Limited`.
-                Err(_) => InvalidResponse::BodyTooLarge.into(),
-            }
-        })?;
-        Ok(Self { status: parts.status, headers: parts.headers, body: body.to_bytes() })
+        let body = read_body(body, MAX_BODY_SIZE).await?;
+        Ok(Self { status: parts.status, headers: parts.headers, body })
     }
 
     /// Converts the response to the end of its attempt.
--- /dev/null
+++ b/tests/message_memory.rs
@@ -0,0 +1,103 @@
+//! The memory that messages take while they are incomplete or wait for their recipient.
+
+mod support;
+
+use std::sync::{Arc, Barrier};
+use support::*;
+
+/// Memory that a connection may take besides the bytes of its message, in KiB.
+const MAX_OVERHEAD_KIB: u64 = 64;
+/// Id of the request that is sent before the memory is measured.
+const WARM_UP: &str = "warm-up";
+
+/// Starts discovery with several entries for an endpoint, so that its expected capacity is no limit.
+fn discovery_with(endpoint: &StubEndpoint) -> StubDiscovery {
+    let entries: Vec<String> = (0..64).map(|n| endpoint.entry(&format!("e{n}"))).collect();
+    StubDiscovery::with_endpoints(&entries)
+}
+
+/// Formats a request of class `order` with a body of this length, from a customer of its own.
+fn order_with_body(number: usize, body_length: usize) -> String {
+    let request = request("order", &format!("r{number}")).replace("b4d65521", &format!("b4d6{number:04x}"));
+    let head = request.replace("Content-Length: 4\r\n", &format!("Content-Length: {body_length}\r\n"));
+    format!("{}{}", head.trim_end_matches("body"), "x".repeat(body_length))
+}
+
+/// Returns the resident memory of a node, in KiB, after it has served a request: its code is in memory then.
+fn warm_memory_kib(node: &Node) -> u64 {
+    assert_eq!(node.send(&request("order", WARM_UP)).status(), 200);
+    node.memory_kib()
+}
+
+// Each piece of a body kept the whole read buffer that it was cut from, some 4 KB, until the body was complete.
+#[test]
+fn requests_in_small_pieces_take_memory_by_their_bytes() {
+    const CLIENTS: usize = 60;
+    const PIECES: usize = 100;
+    const PIECE_LENGTH: usize = 200;
+    let endpoint = StubEndpoint::start(|request| Reply::ok(&request.body.len().to_string()));
+    let node = Node::start(&NodeConfig::with_list_of(&discovery_with(&endpoint)));
+    let memory_before = warm_memory_kib(&node);
+    let requests: Vec<String> =
+        (0..CLIENTS).map(|number| order_with_body(number, PIECES * PIECE_LENGTH)).collect();
+    let mut clients = node.connect_many(CLIENTS);
+    for client in &clients {
+        client.stream.get_ref().set_nodelay(true).expect("failed to disable Nagle's algorithm");
+    }
+    let mut health_checks = node.connect();
+    let mut written = 0;
+    while written < requests[0].len() - PIECE_LENGTH {
+        for (client, request) in clients.iter_mut().zip(&requests) {
+            client.write(&request.as_bytes()[written..written + PIECE_LENGTH]);
+        }
+        written += PIECE_LENGTH;
+        // Gives the node the time to read each piece before the next one arrives.
+        health_checks.write(HEALTH_CHECK);
+        assert!(health_checks.read_response().is_some());
+    }
+    wait_until("the node has read the pieces", || !has_unread_data(node.address));
+    let memory_kib = node.peak_memory_kib() - memory_before;
+    let max_kib = (CLIENTS * written) as u64 / 1024 + CLIENTS as u64 * MAX_OVERHEAD_KIB;
+    assert!(memory_kib <= max_kib, "{memory_kib} KiB, at most {max_kib} KiB expected");
+    for (client, request) in clients.iter_mut().zip(&requests) {
+        client.write(&request.as_bytes()[written..]);
+        let response = client.read_response().expect("a response of the node");
+        assert_eq!((response.status(), response.body), (200, b"20000".to_vec()));
+    }
+}
+
+// Each chunk of a response was kept apart, with the read buffer that it was cut from: a body in chunks of one
+// byte took twenty times its length.
+#[test]
+fn responses_in_small_chunks_take_memory_by_their_bytes() {
+    const RESPONSES: usize = 32;
+    const BODY_LENGTH: usize = 60_000;
+    let barrier = Arc::new(Barrier::new(RESPONSES + 1));
+    let endpoint_barrier = barrier.clone();
+    let endpoint = StubEndpoint::start(move |request| {
+        if request.request_id() == WARM_UP {
+            return Reply::ok("x");
+        }
+        let mut response = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+        response.extend(b"1\r\nx\r\n".repeat(BODY_LENGTH));
+        Reply::Paused(response, endpoint_barrier.clone(), b"0\r\n\r\n")
+    });
+    let node = Node::start(&NodeConfig::with_list_of(&discovery_with(&endpoint)));
+    let memory_before = warm_memory_kib(&node);
+    let mut clients = node.connect_many(RESPONSES);
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.write(order_with_body(number, 4).as_bytes());
+    }
+    // All responses are written but for their ends.
+    barrier.wait();
+    wait_until("the node has read the chunks", || !has_unread_data_from(endpoint.address));
+    let memory_kib = node.peak_memory_kib() - memory_before;
+    // Each response has a connection to a client and one to the endpoint.
+    let max_kib = (RESPONSES * BODY_LENGTH) as u64 / 1024 + 2 * RESPONSES as u64 * MAX_OVERHEAD_KIB;
+    assert!(memory_kib <= max_kib, "{memory_kib} KiB, at most {max_kib} KiB expected");
+    barrier.wait();
+    for mut client in clients {
+        let response = client.read_response().expect("a response of the node");
+        assert_eq!((response.status(), response.body.len()), (200, BODY_LENGTH));
+    }
+}
--- a/tests/support/sockets.rs
+++ b/tests/support/sockets.rs
@@ -8,6 +8,10 @@
     local_port: u16,
     remote_port: u16,
     state: u8,
+    /// Number of bytes that were sent and not acknowledged, or not sent yet.
+    send_queue: u64,
+    /// Number of bytes that were received and not read yet.
+    receive_queue: u64,
 }
 
 fn socket_table() -> Vec<SocketEntry> {
@@ -18,13 +22,41 @@
 fn parse_socket(line: &str) -> Option<SocketEntry> {
     let port = |address: &str| u16::from_str_radix(address.rsplit(':').next()?, 16).ok();
     let mut fields = line.split_whitespace().skip(1);
+    let (local, remote, state) = (fields.next()?, fields.next()?, fields.next()?);
+    let (send_queue, receive_queue) = fields.next()?.split_once(':')?;
     Some(SocketEntry {
-        local_port: port(fields.next()?)?,
-        remote_port: port(fields.next()?)?,
-        state: u8::from_str_radix(fields.next()?, 16).ok()?,
+        local_port: port(local)?,
+        remote_port: port(remote)?,
+        state: u8::from_str_radix(state, 16).ok()?,
+        send_queue: u64::from_str_radix(send_queue, 16).ok()?,
+        receive_queue: u64::from_str_radix(receive_queue, 16).ok()?,
     })
 }
 
+/// Whether the process that listens at an address has yet to read data of its clients.
+pub fn has_unread_data(listener: SocketAddr) -> bool {
+    let port = listener.port();
+    has_queued_data(|socket| socket.remote_port == port, |socket| socket.local_port == port)
+}
+
+/// Whether the clients of the process that listens at an address have yet to read data of it.
+pub fn has_unread_data_from(listener: SocketAddr) -> bool {
+    let port = listener.port();
+    has_queued_data(|socket| socket.local_port == port, |socket| socket.remote_port == port)
+}
+
+/// Whether an open connection has data in the send queue of a sender or in the receive queue of a receiver.
+fn has_queued_data(
+    is_sender: impl Fn(&SocketEntry) -> bool,
+    is_receiver: impl Fn(&SocketEntry) -> bool,
+) -> bool {
+    const ESTABLISHED: u8 = 1;
+    let has_data = |socket: &SocketEntry| {
+        is_sender(socket) && socket.send_queue > 0 || is_receiver(socket) && socket.receive_queue > 0
+    };
+    socket_table().iter().any(|socket| socket.state == ESTABLISHED && has_data(socket))
+}
+
 /// Whether any process is establishing a connection to this address.
 pub fn is_connecting_to(address: SocketAddr) -> bool {
     const SYN_SENT: u8 = 2;
--- a/tests/support/stub_endpoint.rs
+++ b/tests/support/stub_endpoint.rs
@@ -6,7 +6,7 @@
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Barrier, Mutex, MutexGuard};
 use std::time::Duration;
 
 /// How a stub endpoint replies to a request.
@@ -21,6 +21,9 @@
     BytesThenReset(&'static [u8]),
     /// Writes the first bytes once and the second ones again and again until the peer closes the connection.
     Endless(&'static str, &'static str),
+    /// Writes these bytes, waits twice at the barrier, and writes the rest. The test waits there as well, and
+    /// can look at the node in between.
+    Paused(Vec<u8>, Arc<Barrier>, &'static [u8]),
     /// Writes nothing and waits until the peer closes the connection.
     Silence,
     /// Closes the connection without a response.
@@ -148,6 +151,12 @@
             write_endlessly(stream.get_mut(), first, repeated);
             AfterReply::Close
         }
+        Reply::Paused(bytes, barrier, rest) => {
+            let _ = stream.get_mut().write_all(&bytes);
+            barrier.wait();
+            barrier.wait();
+            write_or_close(stream, rest)
+        }
         Reply::Silence => {
             let _ = stream.read(&mut [0]);
             AfterReply::Close
