Close connections whose clients take none of their responses for 3 s

What callers saw: nothing yet; found on the related paths of message memory. A client that writes several requests at once and reads nothing had its responses held for 30 s, the idle timeout, and further requests were read meanwhile. 300 such clients took 131 KiB each (probe).

Cause: only the state of the requests had a timeout, not the output. A response that hyper has taken counts as answered, whether it was written or not.

Change: the stream reports when a write finds the socket's buffer full. Until a write succeeds nothing is read from that client, and after 3 s the connection is closed, at shutdown and on eviction after 1 s. An answered request whose response cannot be written no longer counts as an open request that was closed.

Test, failing before: closes_connection_whose_client_takes_no_responses, still open after 20 s.

--- a/src/bin/edge-gateway/client/connection.rs
+++ b/src/bin/edge-gateway/client/connection.rs
@@ -3,7 +3,7 @@
 //! The [connection table](super::connection_table) selects the connections to evict, and [`super::serve`]
 //! closes them.
 
-use crate::io::read_ahead::ReadAheadStream;
+use crate::io::read_ahead::{ReadAheadStream, StreamEvent};
 use crate::telemetry::metrics::{CloseReason, METRICS};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -16,11 +16,16 @@
 /// Maximum time for a client to send a complete request, from its connect or from the first byte of a later
 /// request. Otherwise a client that sends nothing, or only a part, would hold its descriptor forever.
 pub const REQUEST_TIMEOUT: Duration = Duration::from_millis(2300);
+/// Maximum time for a connection that is being closed to write its buffered output.
+pub const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time without a request after which a connection that has served several requests is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time without a request after which a connection that has served one request is closed: many clients send
 /// one request and never close their connection.
 const SINGLE_USE_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Maximum time for which a client may take nothing of the responses that are written to it. They are held in
+/// memory until it does, and requests that it has pipelined behind them keep the connection open.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Minimum idle time before a connection that has served several requests, as those of regular clients have,
 /// may be evicted.
 const MIN_REUSED_IDLE_TIME: Duration = Duration::from_secs(1);
@@ -64,6 +69,8 @@
     requests_served: Cell<u32>,
     /// Estimated total size of the requests that hyper has passed to the handler, in bytes.
     parsed_bytes: Cell<u64>,
+    /// When a write found the socket's buffer full; `None` if bytes have been written since.
+    write_blocked_since: Cell<Option<Instant>>,
     close_requested: Notify,
     /// See [`Connection::is_evicted`].
     evicted: Cell<bool>,
@@ -78,6 +85,7 @@
             state_since: Cell::new(Instant::now()),
             requests_served: Cell::new(0),
             parsed_bytes: Cell::new(0),
+            write_blocked_since: Cell::new(None),
             close_requested: Notify::new(),
             evicted: Cell::new(false),
         }
@@ -93,6 +101,25 @@
         self.requests_served.get()
     }
 
+    /// Records what happened to the stream of the connection.
+    pub fn record_stream_event(&self, event: StreamEvent) {
+        match event {
+            StreamEvent::BytesRead => {
+                self.start_reading();
+            }
+            StreamEvent::BytesWritten => self.write_blocked_since.set(None),
+            StreamEvent::WriteBlocked => {
+                let since = self.write_blocked_since.get().unwrap_or_else(Instant::now);
+                self.write_blocked_since.set(Some(since));
+            }
+        }
+    }
+
+    /// Whether the client has taken nothing of what is written to it for at least `time`.
+    pub fn is_write_blocked_for(&self, time: Duration) -> bool {
+        self.write_blocked_since.get().is_some_and(|since| since.elapsed() >= time)
+    }
+
     /// Moves from idle to reading when the first byte of a request has arrived; other states stay as they
     /// are. Returns the start of the current state, from which [`REQUEST_TIMEOUT`] runs while reading.
     pub fn start_reading(&self) -> Instant {
@@ -162,9 +189,11 @@
         self.state.get() == ConnectionState::Idle && self.requests_served.get() == 0
     }
 
-    /// Whether the connection has been in its state for longer than allowed.
+    /// Whether the connection has been in its state for longer than allowed, or its client has not read for too
+    /// long.
     pub fn is_timed_out(&self) -> bool {
-        self.timeout().is_some_and(|timeout| self.time_in_state() >= timeout)
+        self.is_write_blocked_for(WRITE_TIMEOUT)
+            || self.timeout().is_some_and(|timeout| self.time_in_state() >= timeout)
     }
 
     /// Maximum time in the current state; `None` if there is no limit.
@@ -178,8 +207,12 @@
     }
 
     /// Whether no request has been open for `min_idle_time`. With a partial request, at least
-    /// [`MIN_READING_TIME`] must have passed as well.
+    /// [`MIN_READING_TIME`] must have passed as well. A client that has not read for [`CLOSE_TIMEOUT`] counts
+    /// as idle, since it will not take the response to an open request either.
     pub fn is_idle_for(&self, min_idle_time: Duration) -> bool {
+        if self.is_write_blocked_for(CLOSE_TIMEOUT) {
+            return true;
+        }
         match self.state.get() {
             ConnectionState::InRequest => false,
             ConnectionState::Reading => self.time_in_state() >= min_idle_time.max(MIN_READING_TIME),
--- a/src/bin/edge-gateway/client/handler.rs
+++ b/src/bin/edge-gateway/client/handler.rs
@@ -140,10 +140,11 @@
 impl Drop for DisconnectGuard<'_> {
     fn drop(&mut self) {
         if let Some(id) = self.open_request.take() {
-            if !self.stream.is_disconnected() {
+            let was_open = self.dispatcher.client_disconnected(&id);
+            let client_has_left = self.stream.is_disconnected() || self.stream.is_write_blocked();
+            if was_open && !client_has_left {
                 METRICS.record_violation(Violation::ClosedOpenRequest, &id);
             }
-            self.dispatcher.client_disconnected(&id);
         }
     }
 }
--- a/src/bin/edge-gateway/client/serve.rs
+++ b/src/bin/edge-gateway/client/serve.rs
@@ -2,7 +2,7 @@
 //!
 //! [`super::handler`] produces the responses.
 
-use crate::client::connection::{Connection, ConnectionState, RequestGuard};
+use crate::client::connection::{Connection, ConnectionState, RequestGuard, CLOSE_TIMEOUT};
 use crate::client::handler::RequestHandler;
 use crate::io::read_ahead::ReadAheadStream;
 use bytes::Bytes;
@@ -24,8 +24,6 @@
 /// Time for which a connection with unread data, or one that has received nothing, is polled before it is
 /// closed: tokio may not have reported yet what its client has sent.
 const CLOSE_GRACE_PERIOD: Duration = Duration::from_millis(10);
-/// Maximum time for a connection that is being closed to write its buffered output.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Serves a connection until it has closed. `queued_since` is the earliest time from which it may have waited
 /// to be accepted; `None` if it did not wait.
@@ -35,10 +33,9 @@
     stream: TcpStream,
     queued_since: Option<Instant>,
 ) {
-    let reading_connection = connection.clone();
-    let stream = ReadAheadStream::new(stream, queued_since, move || {
-        reading_connection.start_reading();
-    });
+    let observed_connection = connection.clone();
+    let on_event = move |event| observed_connection.record_stream_event(event);
+    let stream = ReadAheadStream::new(stream, queued_since, on_event);
     let service = service_fn(|request| {
         let (handler, connection, stream) = (handler.clone(), connection.clone(), stream.clone());
         async move {
@@ -97,6 +94,10 @@
     /// Decides whether and how to close the connection. A request that has arrived completely is answered, as
     /// are those pipelined behind it; the last response tells the client to close the connection.
     async fn decide_close(&mut self) -> CloseDecision {
+        if self.connection.is_write_blocked_for(CLOSE_TIMEOUT) {
+            // The client does not take the responses that it was sent before.
+            return CloseDecision::Drop;
+        }
         let state = self.connection.state();
         match state {
             ConnectionState::InRequest => CloseDecision::KeepOpen,
--- a/src/bin/edge-gateway/dispatcher.rs
+++ b/src/bin/edge-gateway/dispatcher.rs
@@ -159,15 +159,17 @@
     }
 
     /// Closes a request whose client has disconnected: it gets no answer, and the gateway cancels its
-    /// attempts in flight.
-    pub fn client_disconnected(self: &Rc<Self>, id: &RequestId) {
+    /// attempts in flight. Returns whether the request was open.
+    pub fn client_disconnected(self: &Rc<Self>, id: &RequestId) -> bool {
         let mut state = self.state.borrow_mut();
-        let Some(request) = state.requests.get_mut(id) else { return };
-        if request.answer_sender.take().is_some() {
+        let Some(request) = state.requests.get_mut(id) else { return false };
+        let was_open = request.answer_sender.take().is_some();
+        if was_open {
             METRICS.record_client_disconnect();
             tracing::debug!(request = %id, "client disconnected");
             self.close_request(&mut state, id);
         }
+        was_open
     }
 
     /// Number of requests whose clients are waiting for an answer.
--- a/src/bin/edge-gateway/io/read_ahead.rs
+++ b/src/bin/edge-gateway/io/read_ahead.rs
@@ -3,6 +3,9 @@
 //! While a request is open, data that its client sends is read into a bounded buffer. hyper itself reads only
 //! as much of the next request as it can hold, and would not detect a disconnect behind that. The stream also
 //! records when the bytes arrived that hyper reads, since the client's deadline runs from then.
+//!
+//! While the client does not take what is written to it, nothing is read: each further request would add a
+//! response to those that are held for it.
 
 use crate::io::resilient_stream::ResilientStream;
 use crate::io::socket::{self, has_unread_data};
@@ -13,7 +16,7 @@
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -48,8 +51,23 @@
     waiting_for_data: Cell<bool>,
     /// Whether more than [`MAX_BUFFERED`] arrived, after which all further data is discarded.
     overflowed: Cell<bool>,
-    /// Called whenever hyper has read any bytes; set by the creator of the stream.
-    on_read: Box<dyn Fn()>,
+    /// Whether hyper's last write found the socket's buffer full.
+    write_blocked: Cell<bool>,
+    /// The task to wake once a write is no longer blocked, since its reads are pending until then.
+    reader: Cell<Option<Waker>>,
+    /// Called with each event; set by the creator of the stream.
+    on_event: Box<dyn Fn(StreamEvent)>,
+}
+
+/// What happened to a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamEvent {
+    /// hyper has read some bytes.
+    BytesRead,
+    /// hyper has written some bytes to the socket.
+    BytesWritten,
+    /// hyper has found the socket's buffer full, because the client does not read.
+    WriteBlocked,
 }
 
 /// A number of bytes that arrived within [`ARRIVAL_WINDOW`].
@@ -59,9 +77,13 @@
 }
 
 impl ReadAheadStream {
-    /// Creates a stream that calls `on_read` whenever hyper has read any bytes. `queued_since` is the
-    /// earliest time at which data that is unread now may have arrived; `None` if it has only just arrived.
-    pub fn new(stream: TcpStream, queued_since: Option<Instant>, on_read: impl Fn() + 'static) -> Self {
+    /// Creates a stream that calls `on_event` with each event. `queued_since` is the earliest time at which
+    /// data that is unread now may have arrived; `None` if it has only just arrived.
+    pub fn new(
+        stream: TcpStream,
+        queued_since: Option<Instant>,
+        on_event: impl Fn(StreamEvent) + 'static,
+    ) -> Self {
         let queued_since = queued_since.filter(|_| has_unread_data(&stream));
         Self(Rc::new(Shared {
             stream: RefCell::new(ResilientStream::new(stream)),
@@ -72,7 +94,9 @@
             bytes_read: Cell::default(),
             waiting_for_data: Cell::default(),
             overflowed: Cell::default(),
-            on_read: Box::new(on_read),
+            write_blocked: Cell::default(),
+            reader: Cell::default(),
+            on_event: Box::new(on_event),
         }))
     }
 
@@ -103,6 +127,11 @@
         self.0.waiting_for_data.get()
     }
 
+    /// Whether hyper has output that the socket does not accept, because the client does not read.
+    pub fn is_write_blocked(&self) -> bool {
+        self.0.write_blocked.get()
+    }
+
     /// Whether the client has sent more before its response than may be buffered, so that no further request
     /// can be read.
     pub fn has_overflowed(&self) -> bool {
@@ -117,6 +146,7 @@
 
     /// Reads ahead; ready once the client has closed its sending direction or the connection has broken.
     pub fn poll_disconnected(&self, cx: &mut Context<'_>) -> Poll<()> {
+        ready!(self.0.poll_unblocked(cx));
         let mut stream = self.0.stream.borrow_mut();
         let mut storage = [MaybeUninit::uninit(); READ_SIZE];
         loop {
@@ -169,8 +199,32 @@
         }
     }
 
+    /// Pending while a write is blocked.
+    fn poll_unblocked(&self, cx: &mut Context<'_>) -> Poll<()> {
+        if !self.write_blocked.get() {
+            return Poll::Ready(());
+        }
+        self.reader.set(Some(cx.waker().clone()));
+        Poll::Pending
+    }
+
+    /// Records the result of a write.
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        self.write_blocked.set(written.is_pending());
+        match written {
+            Poll::Pending => (self.on_event)(StreamEvent::WriteBlocked),
+            Poll::Ready(_) => {
+                (self.on_event)(StreamEvent::BytesWritten);
+                if let Some(reader) = self.reader.take() {
+                    reader.wake();
+                }
+            }
+        }
+    }
+
     /// Fills `buf` from the buffer, or from the socket if the buffer is empty.
     fn poll_fill(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        ready!(self.poll_unblocked(cx));
         let mut buffer = self.buffer.borrow_mut();
         if !buffer.is_empty() {
             let bytes = buffer.len().min(buf.remaining());
@@ -203,7 +257,7 @@
         if read > 0 {
             self.0.bytes_read.set(self.0.bytes_read.get() + read as u64);
             self.0.waiting_for_data.set(false);
-            (self.0.on_read)();
+            (self.0.on_event)(StreamEvent::BytesRead);
         }
         result
     }
@@ -211,7 +265,9 @@
 
 impl AsyncWrite for ReadAheadStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(cx, buf)
+        let written = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(cx, buf);
+        self.0.record_write(&written);
+        written
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/tests/bad_clients.rs
+++ b/tests/bad_clients.rs
@@ -181,3 +181,21 @@
     assert!(started.elapsed() < Duration::from_millis(4500), "{:?}", started.elapsed());
     drop(burst);
 }
+
+// Responses were held for 30 s for a client that did not read them.
+#[test]
+fn closes_connection_whose_client_takes_no_responses() {
+    const REQUESTS: usize = 100;
+    let endpoint = StubEndpoint::start(|request| match request.request_id() {
+        id if id.starts_with("long") => Reply::ok(&"x".repeat(64 << 10)),
+        id => Reply::ok(id),
+    });
+    let node = Node::with_endpoints(&[endpoint.entry("a")]);
+    let mut client = node.connect();
+    let pipelined: String = (0..REQUESTS).map(|number| request("read", &format!("long{number}"))).collect();
+    client.write(pipelined.as_bytes());
+    wait_until("the connection is closed", || !is_connection_open(node.address, client.address()));
+    // More than the system's buffers hold, so that the node had to wait for the client.
+    assert!(endpoint.request_count() < REQUESTS);
+    assert_eq!(node.send(&request("read", "usual")).body, b"usual");
+}
