Write bodies from where they are, without a copy that the connection keeps

What callers saw: nothing yet; found on the related paths of message memory. 100 idle clients that had sent and got 64 KiB each kept 14,868 to 19,000 KiB in the node.

Cause: the streams did not offer vectored writes. hyper then copies head and body into one buffer, which it keeps with its capacity for as long as the connection is open, for requests on connections to endpoints and for responses on those to clients.

Change: all streams of the node offer vectored writes. hyper hands over head and body in one call; the body is neither copied nor kept.

Test, failing before: idle_connections_keep_no_copy_of_long_responses, 14,868, 16,864 and 19,000 KiB with at most 8,960, 10,112 and 11,136 expected (64 KiB for each open connection).

--- a/src/bin/edge-gateway/io/read_ahead.rs
+++ b/src/bin/edge-gateway/io/read_ahead.rs
@@ -12,7 +12,7 @@
 use bytes::{Buf, BytesMut};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::io;
+use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -270,6 +270,20 @@
         written
     }
 
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(cx, buffers);
+        self.0.record_write(&written);
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.stream.borrow().is_write_vectored()
+    }
+
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut *self.0.stream.borrow_mut()).poll_flush(cx)
     }
--- a/src/bin/edge-gateway/io/resilient_stream.rs
+++ b/src/bin/edge-gateway/io/resilient_stream.rs
@@ -2,7 +2,7 @@
 
 use crate::io::task_budget;
 use socket2::SockRef;
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -48,8 +48,8 @@
     }
 
     /// Writes without waiting, bypassing the runtime. Returns the byte count; `None` if there is no room.
-    fn try_write(&self, bytes: &[u8]) -> Option<io::Result<usize>> {
-        retry_interrupted(|| (&*SockRef::from(&self.stream)).write(bytes))
+    fn try_write(&self, buffers: &[IoSlice<'_>]) -> Option<io::Result<usize>> {
+        retry_interrupted(|| (&*SockRef::from(&self.stream)).write_vectored(buffers))
     }
 
     /// Reads through the runtime.
@@ -63,9 +63,13 @@
     }
 
     /// Writes through the runtime.
-    fn poll_runtime_write(&mut self, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_runtime_write(
+        &mut self,
+        cx: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
         loop {
-            let result = Pin::new(&mut self.stream).poll_write(cx, bytes);
+            let result = Pin::new(&mut self.stream).poll_write_vectored(cx, buffers);
             if !is_interrupted(&result) {
                 return result;
             }
@@ -111,23 +115,38 @@
 }
 
 impl AsyncWrite for ResilientStream {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[IoSlice::new(bytes)])
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
         ready!(task_budget::poll_remaining(cx));
         // The runtime is unaware of a write that bypasses it, and still assumes that the socket is full. It
         // is bypassed until the socket really is full, since only then a readiness event follows.
-        let bypassed = if self.write_was_short { self.try_write(bytes) } else { None };
+        let bypassed = if self.write_was_short { self.try_write(buffers) } else { None };
         let bypasses_runtime = bypassed.is_some();
         let result = match bypassed {
             Some(written) => Poll::Ready(written),
-            None => self.poll_runtime_write(cx, bytes),
+            None => self.poll_runtime_write(cx, buffers),
         };
         let written = if let Poll::Ready(Ok(written)) = &result { *written } else { 0 };
         task_budget::consume(cx, written);
-        let is_short = matches!(result, Poll::Ready(Ok(_))) && written < bytes.len();
+        let length: usize = buffers.iter().map(|buffer| buffer.len()).sum();
+        let is_short = matches!(result, Poll::Ready(Ok(_))) && written < length;
         self.write_was_short = bypasses_runtime || is_short;
         result
     }
 
+    /// Whether [`poll_write_vectored`](AsyncWrite::poll_write_vectored) writes all buffers. hyper then leaves
+    /// the body of a message where it is; otherwise it copies the body into a buffer that it keeps.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_flush(cx)
     }
--- a/src/bin/edge-gateway/upstream/metered_stream.rs
+++ b/src/bin/edge-gateway/upstream/metered_stream.rs
@@ -5,7 +5,7 @@
 use crate::io::resilient_stream::ResilientStream;
 use crate::io::socket::has_unread_data;
 use std::cell::Cell;
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -39,6 +39,14 @@
     pub is_idle_check: Rc<Cell<bool>>,
 }
 
+impl StreamMeter {
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.bytes_written.add(*bytes as u64);
+        }
+    }
+}
+
 /// A stream that counts the bytes written to it, limits those read from it, and detects unsolicited data in
 /// an idle check.
 pub struct MeteredStream {
@@ -77,12 +85,24 @@
 impl AsyncWrite for MeteredStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        if let Poll::Ready(Ok(bytes)) = &written {
-            self.meter.bytes_written.add(*bytes as u64);
-        }
+        self.meter.record_write(&written);
+        written
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, buffers);
+        self.meter.record_write(&written);
         written
     }
 
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_flush(cx)
     }
--- a/tests/message_memory.rs
+++ b/tests/message_memory.rs
@@ -101,3 +101,25 @@
         assert_eq!((response.status(), response.body.len()), (200, BODY_LENGTH));
     }
 }
+
+// A connection kept a copy of the longest response that it had carried, for as long as it stayed open.
+#[test]
+fn idle_connections_keep_no_copy_of_long_responses() {
+    const CLIENTS: usize = 100;
+    const BODY_LENGTH: usize = 64 << 10;
+    let endpoint = StubEndpoint::start(|request| match request.request_id() {
+        WARM_UP => Reply::ok("x"),
+        _ => Reply::ok(&"x".repeat(BODY_LENGTH)),
+    });
+    let node = Node::start(&NodeConfig::with_list_of(&discovery_with(&endpoint)));
+    let memory_before = warm_memory_kib(&node);
+    let mut clients = node.connect_many(CLIENTS);
+    for (number, client) in clients.iter_mut().enumerate() {
+        let response = client.send(&order_with_body(number, BODY_LENGTH));
+        assert_eq!((response.status(), response.body.len()), (200, BODY_LENGTH));
+    }
+    let memory_kib = node.memory_kib() - memory_before;
+    let connections = CLIENTS + endpoint.open_connections();
+    let max_kib = connections as u64 * MAX_OVERHEAD_KIB;
+    assert!(memory_kib <= max_kib, "{memory_kib} KiB, at most {max_kib} KiB expected");
+}
