Limit the memory that the messages of each direction take together

What callers saw: at a memory limit of 192 MB nothing any more; below it a crowd of usual clients with long requests takes the node over its limit. 341 clients that sent 64 KiB each, but for the last byte, took it to 46,492 and 46,124 KiB with a limit of 24 MB.

Cause: the number of connections was limited, what they hold was not: `memory_mb` decided on the length of the endpoint list only. Read-ahead kept its buffer while a connection was idle.

Change: `memory_budget.rs` gives the messages of each direction half of what program, connections and endpoints leave of `memory_mb`, an eighth of it together at the least, and adapts that when the endpoint list changes. `io/memory_pool.rs` reserves it (a semaphore of bytes); a body holds its reservation until its last clone is dropped, so that waiting answers count as well. Requests reserve as they are read; without memory the body is read to its end, discarded, and rejected with Retry-After on an open connection. Responses reserve before they are read, and wait. Read-ahead reserves as it grows, and releases its buffer once it is empty. Gauge `message_memory_bytes`, counter `message_memory_exhausted`, reason `memory_exhausted`.

--- a/src/bin/edge-gateway/client.rs
+++ b/src/bin/edge-gateway/client.rs
@@ -18,6 +18,7 @@
 mod shutdown;
 
 use crate::dispatcher::Dispatcher;
+use crate::io::memory_pool::MemoryPool;
 use connection_table::ConnectionTable;
 use handler::RequestHandler;
 use listener::Acceptor;
@@ -35,14 +36,16 @@
 }
 
 impl Frontend {
-    /// Creates a frontend that holds at most `max_connections` open connections.
+    /// Creates a frontend that holds at most `max_connections` open connections, and whose requests take their
+    /// memory from `request_memory`.
     pub fn new(
         dispatcher: Rc<Dispatcher>,
         head_parser: RequestHeadParser,
+        request_memory: MemoryPool,
         max_connections: usize,
     ) -> Rc<Self> {
         Rc::new(Self {
-            handler: RequestHandler::new(dispatcher.clone(), head_parser),
+            handler: RequestHandler::new(dispatcher.clone(), head_parser, request_memory),
             dispatcher,
             connections: ConnectionTable::new(max_connections),
             stop_accepting: Notify::new(),
--- a/src/bin/edge-gateway/client/handler.rs
+++ b/src/bin/edge-gateway/client/handler.rs
@@ -6,6 +6,7 @@
 use crate::client::request_head::RequestHeadParser;
 use crate::client::response::{answer_response, error_response, text_response, FullResponse};
 use crate::dispatcher::{ClientRequest, Dispatcher};
+use crate::io::memory_pool::MemoryPool;
 use crate::io::read_ahead::ReadAheadStream;
 use crate::telemetry::metrics::{Violation, METRICS};
 use edge_gateway::{Millis, RequestId};
@@ -19,18 +20,28 @@
 /// Path of the readiness check, by which others learn whether the node takes requests.
 const READINESS_PATH: &str = "/up";
 
+/// The reason of a rejection for lack of memory, in logs and metrics. The dispatcher does not know of it.
+const MEMORY_EXHAUSTED: &str = "memory_exhausted";
+
 /// Produces the response to each request, for all client connections.
 pub struct RequestHandler {
     dispatcher: Rc<Dispatcher>,
     head_parser: RequestHeadParser,
+    /// The memory for the bodies of requests, and for what is read ahead behind them.
+    memory: MemoryPool,
     /// Whether the node is shutting down, and clients are told to close their connections.
     draining: Cell<bool>,
 }
 
 impl RequestHandler {
-    /// Creates a handler that passes requests to `dispatcher`.
-    pub fn new(dispatcher: Rc<Dispatcher>, head_parser: RequestHeadParser) -> Rc<Self> {
-        Rc::new(Self { dispatcher, head_parser, draining: Cell::new(false) })
+    /// Creates a handler that passes requests to `dispatcher`. Their bodies take their memory from `memory`.
+    pub fn new(dispatcher: Rc<Dispatcher>, head_parser: RequestHeadParser, memory: MemoryPool) -> Rc<Self> {
+        Rc::new(Self { dispatcher, head_parser, memory, draining: Cell::new(false) })
+    }
+
+    /// Returns the memory for requests.
+    pub fn memory(&self) -> &MemoryPool {
+        &self.memory
     }
 
     /// Makes readiness checks fail from now on, and responses tell clients to close their connections.
@@ -62,18 +73,27 @@
         };
         // After an invalid request the connection is closed: the request may not have been read to its end,
         // so the start of the next one is unknown. This also slows down clients that send invalid ones only.
-        let invalid = result.is_err();
+        let leaves_unread_data = result.as_ref().is_err_and(RequestError::leaves_unread_data);
         let mut response = match result {
             Ok(response) => response,
             Err(RequestError::Connection(error)) => return Err(error),
+            Err(RequestError::MemoryExhausted) => self.memory_rejection(),
             Err(error) => error_response(&error),
         };
-        if self.should_close(connection, stream) || invalid || stream.has_overflowed() {
+        if self.should_close(connection, stream) || leaves_unread_data || stream.has_overflowed() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
     }
 
+    /// Returns the rejection of a request whose body was discarded for lack of memory.
+    fn memory_rejection(&self) -> FullResponse {
+        METRICS.record_rejection(MEMORY_EXHAUSTED);
+        let retry_after = self.head_parser.max_retry_after();
+        tracing::debug!(reason = MEMORY_EXHAUSTED, retry_after, "rejected");
+        answer_response(Answer::Rejected(retry_after))
+    }
+
     fn readiness(&self, request: &Request<Incoming>) -> FullResponse {
         if request.method() != Method::GET {
             return text_response(StatusCode::METHOD_NOT_ALLOWED, "only GET");
@@ -93,7 +113,8 @@
         stream: &ReadAheadStream,
     ) -> Result<FullResponse, RequestError> {
         let received_at = self.dispatcher.now() - stream.received_at().elapsed().as_secs_f64() * 1000.0;
-        let request = read_request(&self.head_parser, request, reading_since, received_at).await?;
+        let request =
+            read_request(&self.head_parser, &self.memory, request, reading_since, received_at).await?;
         // The client may have disconnected without tokio having reported it yet, and a pooled connection
         // would send the request to an endpoint at once.
         if stream.is_at_eof() {
--- a/src/bin/edge-gateway/client/request.rs
+++ b/src/bin/edge-gateway/client/request.rs
@@ -4,7 +4,8 @@
 use crate::client::connection::REQUEST_TIMEOUT;
 use crate::client::request_head::{RequestHeadError, RequestHeadParser};
 use crate::dispatcher::{ClientRequest, UpstreamRequest};
-use crate::io::body::{self, BodyError};
+use crate::io::body::{self, BodyError, ReserveMemory};
+use crate::io::memory_pool::MemoryPool;
 use crate::upstream::MAX_BODY_SIZE;
 use bytes::Bytes;
 use edge_gateway::{duration_from_millis, Millis};
@@ -31,6 +32,9 @@
     /// The body was not complete within [`REQUEST_TIMEOUT`] or the client's deadline.
     #[error("the body did not come in time")]
     BodyTimeout,
+    /// There was no memory left for the body, which was read to its end and discarded.
+    #[error("refused; nothing was run")]
+    MemoryExhausted,
     /// The client disconnected after its request was complete and before it was passed on.
     #[error("the client has left")]
     ClientDisconnected,
@@ -46,18 +50,25 @@
     fn from(error: BodyError) -> Self {
         match error {
             BodyError::TooLong(_) => RequestError::BodyTooLarge,
+            BodyError::MemoryExhausted => RequestError::MemoryExhausted,
             BodyError::Http(error) => RequestError::Connection(error),
         }
     }
 }
 
 impl RequestError {
+    /// Whether the request was not read to its end, so that the start of the next one is unknown.
+    pub fn leaves_unread_data(&self) -> bool {
+        !matches!(self, RequestError::MemoryExhausted)
+    }
+
     /// Returns the status code of the response that reports this error.
     pub fn status(&self) -> StatusCode {
         match self {
             RequestError::LengthRequired => StatusCode::LENGTH_REQUIRED,
             RequestError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             RequestError::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            RequestError::MemoryExhausted => StatusCode::SERVICE_UNAVAILABLE,
             RequestError::DuplicateId => StatusCode::CONFLICT,
             RequestError::InvalidHead(_)
             | RequestError::UnexpectedBody
@@ -78,7 +89,7 @@
     (request_line + headers) as u64 + request.body().size_hint().exact().unwrap_or(0)
 }
 
-/// Reads the rest of a request whose head hyper has read.
+/// Reads the rest of a request whose head hyper has read. Its body takes its memory from `memory`.
 ///
 /// [`REQUEST_TIMEOUT`] runs from `reading_since`, the client's deadline from `received_at`, when the end of
 /// the head arrived.
@@ -87,6 +98,7 @@
 /// If the request is invalid, exceeds a limit, or its connection breaks.
 pub async fn read_request(
     head_parser: &RequestHeadParser,
+    memory: &MemoryPool,
     request: Request<Incoming>,
     reading_since: Instant,
     received_at: Millis,
@@ -103,7 +115,7 @@
     }
     let body = match body.is_end_stream() {
         true => Bytes::new(),
-        false => read_body(body, head.timeout, reading_since).await?,
+        false => read_body(body, memory, head.timeout, reading_since).await?,
     };
     let upstream_request = UpstreamRequest {
         method: parts.method,
@@ -117,12 +129,13 @@
 /// Reads a body, for at most `client_timeout` and until [`REQUEST_TIMEOUT`] after `reading_since`.
 async fn read_body(
     body: Incoming,
+    memory: &MemoryPool,
     client_timeout: Millis,
     reading_since: Instant,
 ) -> Result<Bytes, RequestError> {
     let time_left =
         duration_from_millis(client_timeout).min(REQUEST_TIMEOUT.saturating_sub(reading_since.elapsed()));
-    match timeout(time_left, body::read_body(body, MAX_BODY_SIZE)).await {
+    match timeout(time_left, body::read_body(body, MAX_BODY_SIZE, memory, ReserveMemory::AsRead)).await {
         Err(_) => Err(RequestError::BodyTimeout),
         Ok(body) => Ok(body?),
     }
--- a/src/bin/edge-gateway/client/request_head.rs
+++ b/src/bin/edge-gateway/client/request_head.rs
@@ -78,6 +78,7 @@
     plans: Vec<Arc<str>>,
     limits: RequestLimits,
     longest_deadline: Millis,
+    max_retry_after: Millis,
 }
 
 /// A class of the settings, with its name in the type that the library's events use.
@@ -131,6 +132,7 @@
             plans: settings.plans.iter().map(|plan| plan.name.as_str().into()).collect(),
             limits,
             longest_deadline: settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max),
+            max_retry_after: settings.max_retry_after.unwrap_or(0.0),
         }
     }
 
@@ -139,6 +141,11 @@
         self.longest_deadline
     }
 
+    /// Returns the longest time after which a client may be told to retry; 0 if it may not be told.
+    pub fn max_retry_after(&self) -> Millis {
+        self.max_retry_after
+    }
+
     /// Parses a request head and checks it against the settings and the limits.
     ///
     /// # Errors
--- a/src/bin/edge-gateway/client/serve.rs
+++ b/src/bin/edge-gateway/client/serve.rs
@@ -35,7 +35,7 @@
 ) {
     let observed_connection = connection.clone();
     let on_event = move |event| observed_connection.record_stream_event(event);
-    let stream = ReadAheadStream::new(stream, queued_since, on_event);
+    let stream = ReadAheadStream::new(stream, queued_since, handler.memory().clone(), on_event);
     let service = service_fn(|request| {
         let (handler, connection, stream) = (handler.clone(), connection.clone(), stream.clone());
         async move {
--- a/src/bin/edge-gateway/client/tests.rs
+++ b/src/bin/edge-gateway/client/tests.rs
@@ -2,6 +2,8 @@
 use super::listener::spawn_connection;
 use super::*;
 use crate::clock::Clock;
+use crate::descriptor_budget::DescriptorBudget;
+use crate::memory_budget::{MemoryBudget, MessageMemory};
 use crate::telemetry::metrics::CloseReason;
 use crate::upstream::UpstreamPool;
 use edge_gateway::{Gateway, SettingsDocument};
@@ -24,11 +26,16 @@
     let settings = document.settings().expect("settings");
     let head_parser = RequestHeadParser::new(&settings, limits);
     let gateway = Gateway::new(settings, 1).expect("settings");
-    let pool = UpstreamPool::new(connection_settings, 10);
-    let dispatcher = Dispatcher::new(gateway, Clock::new(), pool, false);
+    let memory = MessageMemory::new(MemoryBudget::new(64 << 20, DescriptorBudget::new(64)));
+    let pool = UpstreamPool::new(connection_settings, 10, memory.responses.clone());
+    let dispatcher = Dispatcher::new(gateway, Clock::new(), pool, memory.clone(), false);
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let client = std::net::TcpStream::connect(listener.local_addr().expect("an address"));
-    (Frontend::new(dispatcher, head_parser, 10), listener, client.expect("the client connects"))
+    (
+        Frontend::new(dispatcher, head_parser, memory.requests, 10),
+        listener,
+        client.expect("the client connects"),
+    )
 }
 
 /// Accepts the client in the backlog and has the frontend serve it.
--- a/src/bin/edge-gateway/configuration.rs
+++ b/src/bin/edge-gateway/configuration.rs
@@ -2,6 +2,7 @@
 
 pub mod reload;
 
+use crate::memory_budget::MEMORY_PER_ENDPOINT;
 use edge_gateway::{
     ConnectionSettings, EndpointList, PollSettings, RequestLimits, Settings, SettingsDocument,
 };
@@ -20,8 +21,6 @@
 const DEFAULT_MEMORY_MB: f64 = 192.0;
 /// Fraction of the memory limit that the endpoint list and all state of its endpoints may use.
 const ENDPOINT_MEMORY_FRACTION: f64 = 0.75;
-/// Maximum memory in bytes that one endpoint uses, reached while a complete list replaces another.
-const MAX_BYTES_PER_ENDPOINT: f64 = 900.0;
 /// Smallest maximum length of the endpoint list, however low the memory limit.
 const MIN_ENDPOINT_LIMIT: usize = 1024;
 
@@ -35,6 +34,8 @@
     pub seed: u64,
     /// Maximum number of file descriptors that the node may have open.
     pub max_descriptors: usize,
+    /// Memory in bytes that the node may use.
+    pub max_memory: usize,
     /// Maximum number of entries in an endpoint list, so that the node stays within its memory limit.
     pub max_endpoints: usize,
     /// The endpoint list that this node held last; `None` if the file contains none.
@@ -119,10 +120,15 @@
 }
 
 impl Limits {
+    /// Returns the memory limit in bytes.
+    fn max_memory(&self) -> usize {
+        (self.memory_mb * f64::from(1 << 20)) as usize
+    }
+
     /// Returns the maximum number of entries of an endpoint list that fits into the memory limit.
     fn max_endpoints(&self) -> usize {
-        let bytes = self.memory_mb * f64::from(1 << 20) * ENDPOINT_MEMORY_FRACTION;
-        ((bytes / MAX_BYTES_PER_ENDPOINT) as usize).max(MIN_ENDPOINT_LIMIT)
+        let bytes = self.max_memory() as f64 * ENDPOINT_MEMORY_FRACTION;
+        ((bytes / MEMORY_PER_ENDPOINT as f64) as usize).max(MIN_ENDPOINT_LIMIT)
     }
 }
 
@@ -153,6 +159,7 @@
             discovery: file.discovery,
             seed,
             max_descriptors,
+            max_memory: file.limits.max_memory(),
             max_endpoints: file.limits.max_endpoints(),
             cached_endpoints: file.cached_endpoints,
             connection_settings: settings.connection_settings(),
--- a/src/bin/edge-gateway/dispatcher.rs
+++ b/src/bin/edge-gateway/dispatcher.rs
@@ -12,6 +12,7 @@
 
 use crate::answer::Answer;
 use crate::clock::Clock;
+use crate::memory_budget::MessageMemory;
 use crate::telemetry::metrics::{Violation, METRICS};
 use crate::upstream::UpstreamPool;
 use attempts::AttemptId;
@@ -47,6 +48,8 @@
 pub struct Dispatcher {
     state: RefCell<State>,
     upstream: UpstreamPool,
+    /// Adapted to the number of endpoints.
+    memory: MessageMemory,
     /// Whether two attempts of a request may be in flight at once.
     hedging: bool,
     clock: Clock,
@@ -92,14 +95,21 @@
 
 impl Dispatcher {
     /// Creates a dispatcher with no pending request and no endpoint. `hedging` says whether two attempts of a
-    /// request may be in flight at once.
-    pub fn new(gateway: Gateway, clock: Clock, upstream: UpstreamPool, hedging: bool) -> Rc<Self> {
+    /// request may be in flight at once. `memory` is adapted to the number of endpoints.
+    pub fn new(
+        gateway: Gateway,
+        clock: Clock,
+        upstream: UpstreamPool,
+        memory: MessageMemory,
+        hedging: bool,
+    ) -> Rc<Self> {
         let mut state = State::new(gateway);
         let now = clock.now();
         state.timers.set(now + IDLE_SWEEP_PERIOD, Timer::IdleSweep);
         Rc::new(Self {
             state: RefCell::new(state),
             upstream,
+            memory,
             hedging,
             clock,
             startup_grace_ends_at: Cell::new(now + STARTUP_GRACE_PERIOD),
@@ -181,6 +191,7 @@
     pub fn update_endpoints(self: &Rc<Self>, list: EndpointList) {
         let mut state = self.state.borrow_mut();
         let event = state.endpoints.update(list, |endpoint| self.upstream.close_idle(endpoint));
+        self.memory.adapt_to_endpoints(state.endpoints.len());
         state.events.push_back(event);
         self.process_events(&mut state);
     }
@@ -256,7 +267,7 @@
                 self.start_attempt(state, request, endpoint, timeout_at);
             }
             Action::Reject { request, retry_after, reason } => {
-                METRICS.record_rejection(reason);
+                METRICS.record_rejection(reason.name());
                 tracing::debug!(
                     %request,
                     class = state.requests.get(&request).map(|pending| pending.class.name.as_str()),
--- a/src/bin/edge-gateway/dispatcher/endpoints.rs
+++ b/src/bin/edge-gateway/dispatcher/endpoints.rs
@@ -41,6 +41,11 @@
         self.endpoints.get(&id)
     }
 
+    /// Number of endpoints on the list that have an address.
+    pub fn len(&self) -> usize {
+        self.endpoints.len()
+    }
+
     /// Whether at least one endpoint is serving.
     pub fn has_serving(&self) -> bool {
         self.endpoints.values().any(|endpoint| endpoint.status == ListedStatus::Serving)
--- a/src/bin/edge-gateway/io.rs
+++ b/src/bin/edge-gateway/io.rs
@@ -4,6 +4,7 @@
 pub mod body;
 pub mod http_error;
 pub mod listener;
+pub mod memory_pool;
 pub mod read_ahead;
 pub mod resilient_stream;
 pub mod resource_exhaustion;
--- a/src/bin/edge-gateway/io/read_ahead.rs
+++ b/src/bin/edge-gateway/io/read_ahead.rs
@@ -7,6 +7,7 @@
 //! While the client does not take what is written to it, nothing is read: each further request would add a
 //! response to those that are held for it.
 
+use crate::io::memory_pool::{MemoryPool, Reservation};
 use crate::io::resilient_stream::ResilientStream;
 use crate::io::socket::{self, has_unread_data};
 use bytes::{Buf, BytesMut};
@@ -38,6 +39,9 @@
     stream: RefCell<ResilientStream>,
     /// Bytes that were read ahead and that hyper has not read yet.
     buffer: RefCell<BytesMut>,
+    memory: MemoryPool,
+    /// Memory for `buffer`; `None` while it is empty.
+    reservation: RefCell<Option<Reservation>>,
     /// When the bytes in `buffer` arrived, first bytes first.
     arrivals: RefCell<VecDeque<Arrival>>,
     /// When the last byte that hyper has read arrived.
@@ -49,7 +53,7 @@
     bytes_read: Cell<u64>,
     /// Whether hyper's last read found no data: it reads again only when it holds no complete request.
     waiting_for_data: Cell<bool>,
-    /// Whether more than [`MAX_BUFFERED`] arrived, after which all further data is discarded.
+    /// Whether more arrived than [`MAX_BUFFERED`] or the memory that was left, after which all further data is discarded.
     overflowed: Cell<bool>,
     /// Whether hyper's last write found the socket's buffer full.
     write_blocked: Cell<bool>,
@@ -78,16 +82,20 @@
 
 impl ReadAheadStream {
     /// Creates a stream that calls `on_event` with each event. `queued_since` is the earliest time at which
-    /// data that is unread now may have arrived; `None` if it has only just arrived.
+    /// data that is unread now may have arrived; `None` if it has only just arrived. What is read ahead takes
+    /// its memory from `memory`.
     pub fn new(
         stream: TcpStream,
         queued_since: Option<Instant>,
+        memory: MemoryPool,
         on_event: impl Fn(StreamEvent) + 'static,
     ) -> Self {
         let queued_since = queued_since.filter(|_| has_unread_data(&stream));
         Self(Rc::new(Shared {
             stream: RefCell::new(ResilientStream::new(stream)),
             buffer: RefCell::default(),
+            memory,
+            reservation: RefCell::default(),
             arrivals: RefCell::default(),
             received_at: Cell::new(Instant::now()),
             queued_since: Cell::new(queued_since),
@@ -161,11 +169,12 @@
 }
 
 impl Shared {
-    /// Buffers bytes unless that would exceed [`MAX_BUFFERED`]. From then on all bytes are discarded, so that
-    /// the end of the stream behind them can still be detected.
+    /// Buffers bytes unless that would exceed [`MAX_BUFFERED`] or there is no memory left. From then on all
+    /// bytes are discarded, so that the end of the stream behind them can still be detected.
     fn buffer_bytes(&self, bytes: &[u8]) {
         let mut buffer = self.buffer.borrow_mut();
-        if buffer.len() + bytes.len() > MAX_BUFFERED {
+        let length = buffer.len() + bytes.len();
+        if length > MAX_BUFFERED || !self.reserve_memory(&mut buffer, length) {
             self.overflowed.set(true);
         }
         if !self.overflowed.get() {
@@ -174,6 +183,36 @@
         }
     }
 
+    /// Reserves memory for a buffer of `length` bytes, and gives the buffer as much capacity. Returns whether as
+    /// much memory was left.
+    fn reserve_memory(&self, buffer: &mut BytesMut, length: usize) -> bool {
+        if length <= buffer.capacity() {
+            return true;
+        }
+        let capacity = length.next_power_of_two();
+        let mut reservation = self.reservation.borrow_mut();
+        let is_reserved = match &mut *reservation {
+            Some(reservation) => reservation.try_grow(&self.memory, capacity),
+            None => {
+                *reservation = self.memory.try_reserve(capacity);
+                reservation.is_some()
+            }
+        };
+        if is_reserved {
+            buffer.reserve(capacity - buffer.len());
+        } else {
+            self.memory.record_exhausted();
+        }
+        is_reserved
+    }
+
+    /// Releases the memory of an empty buffer: the connection may stay open for long without another request.
+    fn release_memory(&self, buffer: &mut BytesMut) {
+        *buffer = BytesMut::new();
+        *self.arrivals.borrow_mut() = VecDeque::new();
+        *self.reservation.borrow_mut() = None;
+    }
+
     fn record_arrival(&self, bytes: usize) {
         let (mut arrivals, now) = (self.arrivals.borrow_mut(), Instant::now());
         match arrivals.back_mut() {
@@ -231,6 +270,9 @@
             buf.put_slice(&buffer[..bytes]);
             buffer.advance(bytes);
             self.consume_arrivals(bytes);
+            if buffer.is_empty() {
+                self.release_memory(&mut buffer);
+            }
             return Poll::Ready(Ok(()));
         }
         if self.overflowed.get() {
--- a/src/bin/edge-gateway/main.rs
+++ b/src/bin/edge-gateway/main.rs
@@ -12,6 +12,7 @@
 mod discovery;
 mod dispatcher;
 mod io;
+mod memory_budget;
 mod signals;
 mod startup_error;
 mod telemetry;
@@ -27,6 +28,7 @@
 use dispatcher::Dispatcher;
 use edge_gateway::{Gateway, Millis, PollBackoff, Settings, SettingsError};
 use io::listener::listen;
+use memory_budget::{MemoryBudget, MessageMemory};
 use signals::SignalHandlers;
 use startup_error::StartupError;
 use std::net::SocketAddr;
@@ -88,7 +90,8 @@
     signals: SignalHandlers,
 ) -> Result<(), StartupError> {
     let (mut termination, hangups) = signals.split();
-    let dispatcher = new_dispatcher(&configuration, budget, gateway);
+    let memory = MessageMemory::new(MemoryBudget::new(configuration.max_memory, budget));
+    let dispatcher = new_dispatcher(&configuration, budget, &memory, gateway);
     let cached_version = configuration.cached_endpoints.as_ref().map(|list| list.version);
     if let Some(endpoints) = configuration.cached_endpoints.take() {
         dispatcher.update_endpoints(endpoints);
@@ -100,7 +103,7 @@
         spawn_local(time_polls(TaskKind::Metrics, metrics_server::serve(address)));
     }
     let head_parser = RequestHeadParser::new(&configuration.settings, configuration.request_limits);
-    let frontend = Frontend::new(dispatcher.clone(), head_parser, budget.client);
+    let frontend = Frontend::new(dispatcher.clone(), head_parser, memory.requests, budget.client);
     let accept_task = spawn_local(time_polls(TaskKind::Accept, frontend.clone().accept(listener)));
     termination.recv().await;
     tracing::info!("shutting down");
@@ -113,10 +116,12 @@
 fn new_dispatcher(
     configuration: &Configuration,
     budget: DescriptorBudget,
+    memory: &MessageMemory,
     gateway: Gateway,
 ) -> Rc<Dispatcher> {
-    let pool = UpstreamPool::new(configuration.connection_settings, budget.upstream);
-    Dispatcher::new(gateway, Clock::new(), pool, configuration.settings.hedging)
+    let connection_settings = configuration.connection_settings;
+    let pool = UpstreamPool::new(connection_settings, budget.upstream, memory.responses.clone());
+    Dispatcher::new(gateway, Clock::new(), pool, memory.clone(), configuration.settings.hedging)
 }
 
 async fn listen_for_clients(address: SocketAddr) -> Result<TcpListener, StartupError> {
--- a/src/bin/edge-gateway/telemetry/metrics.rs
+++ b/src/bin/edge-gateway/telemetry/metrics.rs
@@ -3,10 +3,11 @@
 use crate::answer::Answer;
 use crate::telemetry::slow_polls::TaskKind;
 use edge_gateway::attempt_policy::AttemptDenied;
-use edge_gateway::{Outcome, RejectReason};
+use edge_gateway::Outcome;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use std::sync::LazyLock;
 
@@ -60,6 +61,24 @@
     }
 }
 
+/// The kinds of messages whose memory is limited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MessageKind {
+    /// Requests of clients, with what is read ahead behind them.
+    Request,
+    /// Responses of endpoints.
+    Response,
+}
+
+impl MessageKind {
+    fn name(self) -> &'static str {
+        match self {
+            MessageKind::Request => "request",
+            MessageKind::Response => "response",
+        }
+    }
+}
+
 /// The counters of all metrics, with the registry that encodes them.
 pub struct Metrics {
     registry: Registry,
@@ -71,6 +90,8 @@
     discovery_calls: CounterFamily,
     accept_failures: CounterFamily,
     slow_polls: CounterFamily,
+    message_memory: Family<Label, Gauge>,
+    message_memory_exhausted: CounterFamily,
     violations: CounterFamily,
 }
 
@@ -82,7 +103,19 @@
             registry.register(name, help, counters.clone());
             counters
         };
+        let exhausted_help = "Messages that were held back, rejected or discarded for lack of memory";
+        let message_memory_exhausted = counters("message_memory_exhausted", exhausted_help);
+        let message_memory = Family::<Label, Gauge>::default();
+        let memory_help = "Memory that messages take, in bytes";
+        registry.register("message_memory_bytes", memory_help, message_memory.clone());
+        let mut counters = |name: &str, help: &str| {
+            let counters = CounterFamily::default();
+            registry.register(name, help, counters.clone());
+            counters
+        };
         Self {
+            message_memory,
+            message_memory_exhausted,
             answers: counters("answers", "Final answers to requests, and clients that disconnected before"),
             rejections: counters("rejections", "Rejected requests by reason"),
             attempts: counters("attempts", "Attempts by outcome"),
@@ -112,9 +145,9 @@
         self.answers.get_or_create(&[("answer", "client_disconnected")]).inc();
     }
 
-    /// Counts a rejected request.
-    pub fn record_rejection(&self, reason: RejectReason) {
-        self.rejections.get_or_create(&[("reason", reason.name())]).inc();
+    /// Counts a rejected request by the name of the reason.
+    pub fn record_rejection(&self, reason: &'static str) {
+        self.rejections.get_or_create(&[("reason", reason)]).inc();
     }
 
     /// Counts an attempt that has ended.
@@ -147,6 +180,16 @@
         self.slow_polls.get_or_create(&[("task", task.name())]).inc();
     }
 
+    /// Returns the gauge of the memory that messages of this kind take, in bytes.
+    pub fn message_memory(&self, kind: MessageKind) -> Gauge {
+        self.message_memory.get_or_create(&[("message", kind.name())]).clone()
+    }
+
+    /// Counts a message that was held back, rejected or discarded for lack of memory.
+    pub fn record_exhausted_message_memory(&self, kind: MessageKind) {
+        self.message_memory_exhausted.get_or_create(&[("message", kind.name())]).inc();
+    }
+
     /// Counts and logs a violated invariant; `subject` names the affected requests. The lab's soak test fails
     /// if the log contains this message (`FATAL_LOG_TEXTS`).
     pub fn record_violation(&self, violation: Violation, subject: &str) {
--- a/src/bin/edge-gateway/upstream.rs
+++ b/src/bin/edge-gateway/upstream.rs
@@ -12,6 +12,7 @@
 mod reset_rate;
 mod response;
 
+use crate::io::memory_pool::MemoryPool;
 use bytes::Bytes;
 use connect::{connect, ConnectError, ConnectFailure};
 use connection::{ConnectionPermit, PooledConnection};
@@ -59,6 +60,8 @@
     reset_rate: ResetRate,
     idle_timeout: Duration,
     connect_timeout: Duration,
+    /// The memory for the bodies of responses.
+    response_memory: MemoryPool,
 }
 
 /// A connection that carries no request.
@@ -75,8 +78,9 @@
 }
 
 impl UpstreamPool {
-    /// Creates an empty pool that keeps at most `max_connections` connections open.
-    pub fn new(settings: ConnectionSettings, max_connections: usize) -> Self {
+    /// Creates an empty pool that keeps at most `max_connections` connections open. The bodies of responses
+    /// take their memory from `response_memory`.
+    pub fn new(settings: ConnectionSettings, max_connections: usize, response_memory: MemoryPool) -> Self {
         Self {
             idle: RefCell::default(),
             open_connections: Rc::default(),
@@ -86,6 +90,7 @@
                 .idle_timeout
                 .map_or(DEFAULT_IDLE_TIMEOUT, |ms| duration_from_millis(ms * IDLE_TIMEOUT_FRACTION)),
             connect_timeout: duration_from_millis(settings.connect_timeout),
+            response_memory,
         }
     }
 
@@ -130,7 +135,7 @@
             // have been replaced, or the attempt may have run out of time.
             let Some(request) = request() else { return AttemptEnd::without_response(Outcome::NotSent) };
             progress.record_request_offset(&connection);
-            let result = exchange(&mut connection, request).await;
+            let result = exchange(&mut connection, request, &self.response_memory).await;
             if is_reused && progress.may_have_executed() {
                 self.reset_rate.record(matches!(result, Err(ExchangeError::Disconnected(_))));
             }
@@ -142,7 +147,7 @@
             };
             let outcome = match &error {
                 ExchangeError::InvalidResponse(_) => Outcome::InvalidResponse,
-                ExchangeError::TooLong(_) => Outcome::Error,
+                ExchangeError::TooLong(_) | ExchangeError::MemoryExhausted => Outcome::Error,
                 ExchangeError::Disconnected(_) if progress.may_have_executed() => Outcome::Reset,
                 // No byte was written, so another connection cannot send the request a second time.
                 ExchangeError::Disconnected(_) if is_reused => continue,
--- a/src/bin/edge-gateway/upstream/exchange.rs
+++ b/src/bin/edge-gateway/upstream/exchange.rs
@@ -6,6 +6,7 @@
 use super::connection::PooledConnection;
 use super::metered_stream::ByteCounter;
 use super::response::{CompleteResponse, ExchangeError};
+use crate::io::memory_pool::MemoryPool;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -50,20 +51,22 @@
     pub is_connection_open: bool,
 }
 
-/// Sends a request on a connection and reads the response to its end.
+/// Sends a request on a connection and reads the response to its end. The body of the response takes its
+/// memory from `memory`.
 ///
 /// # Errors
 /// If the connection breaks before the response is complete, or the response is invalid.
 pub async fn exchange(
     connection: &mut PooledConnection,
     request: Request<Full<Bytes>>,
+    memory: &MemoryPool,
 ) -> Result<Exchange, ExchangeError> {
     let PooledConnection { sender, driver, meter, .. } = connection;
     let response = async {
         meter.allowance.expect_head();
         let response = sender.send_request(request).await?;
         meter.allowance.expect_body();
-        CompleteResponse::read(response).await
+        CompleteResponse::read(response, memory).await
     };
     tokio::pin!(response);
     tokio::select! {
--- a/src/bin/edge-gateway/upstream/response.rs
+++ b/src/bin/edge-gateway/upstream/response.rs
@@ -2,8 +2,9 @@
 
 use super::connect::ConnectError;
 use super::read_allowance::ResponseTooLong;
-use crate::io::body::{read_body, BodyError};
+use crate::io::body::{read_body, BodyError, ReserveMemory};
 use crate::io::http_error::with_source;
+use crate::io::memory_pool::MemoryPool;
 use bytes::Bytes;
 use edge_gateway::{LoadReport, Outcome};
 use hyper::body::Incoming;
@@ -85,6 +86,9 @@
     /// The received data is not a response that the node accepts.
     #[error("invalid response: {0}")]
     InvalidResponse(#[from] InvalidResponse),
+    /// The node has no memory for the body of the response.
+    #[error("no memory left for the response")]
+    MemoryExhausted,
     /// The endpoint sends on without end, or far more than a response has.
     #[error(transparent)]
     TooLong(#[from] ResponseTooLong),
@@ -133,6 +137,7 @@
     fn from(error: BodyError) -> Self {
         match error {
             BodyError::TooLong(_) => InvalidResponse::BodyTooLarge.into(),
+            BodyError::MemoryExhausted => ExchangeError::MemoryExhausted,
             BodyError::Http(error) => error.into(),
         }
     }
@@ -146,18 +151,18 @@
 }
 
 impl CompleteResponse {
-    /// Reads a response to its end.
+    /// Reads a response to its end. Waits until `memory` has as many bytes left as its body may have.
     ///
     /// # Errors
     /// If the connection ends before the body does, or the response is invalid.
-    pub async fn read(response: Response<Incoming>) -> Result<Self, ExchangeError> {
+    pub async fn read(response: Response<Incoming>, memory: &MemoryPool) -> Result<Self, ExchangeError> {
         let (parts, body) = response.into_parts();
         check_framing(&parts.headers)?;
         // hyper returns an informational response only for a switch of protocols, which is never requested.
         if parts.status.is_informational() {
             return Err(InvalidResponse::UnexpectedStatus(parts.status).into());
         }
-        let body = read_body(body, MAX_BODY_SIZE).await?;
+        let body = read_body(body, MAX_BODY_SIZE, memory, ReserveMemory::InAdvance).await?;
         Ok(Self { status: parts.status, headers: parts.headers, body })
     }
 
--- a/src/bin/edge-gateway/upstream/tests.rs
+++ b/src/bin/edge-gateway/upstream/tests.rs
@@ -1,5 +1,6 @@
 use super::read_allowance::MAX_HEAD_SIZE;
 use super::*;
+use crate::telemetry::metrics::MessageKind;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::time::{advance, sleep};
@@ -8,8 +9,12 @@
 const ENDPOINT: EndpointId = 1;
 const MAX_CONNECTIONS: usize = 100;
 
+const RESPONSE_MEMORY: usize = 1 << 20;
+
 fn pool() -> UpstreamPool {
-    UpstreamPool::new(ConnectionSettings { connect_timeout: 1_000.0, idle_timeout: None }, MAX_CONNECTIONS)
+    let memory = MemoryPool::new(MessageKind::Response, RESPONSE_MEMORY);
+    let settings = ConnectionSettings { connect_timeout: 1_000.0, idle_timeout: None };
+    UpstreamPool::new(settings, MAX_CONNECTIONS, memory)
 }
 
 async fn listener() -> (TcpListener, EndpointInstance) {
@@ -153,3 +158,31 @@
     }
     server.abort();
 }
+
+// The responses of all attempts together took as much memory as their endpoints sent.
+#[tokio::test]
+async fn response_is_not_read_before_there_is_memory_for_it() {
+    /// Enough for the response to be received and read, if there were memory for it.
+    const POLLS: usize = 1_000;
+    let (listener, instance) = listener().await;
+    let pool = pool();
+    let held = pool.response_memory.try_reserve(RESPONSE_MEMORY).expect("the memory is free");
+    let tasks = tokio::task::LocalSet::new();
+    tasks.spawn_local(serve(listener, Rc::default()));
+    tasks
+        .run_until(async {
+            let mut attempt = std::pin::pin!(attempt(&pool, instance));
+            let polls = async {
+                for _ in 0..POLLS {
+                    tokio::task::yield_now().await;
+                }
+            };
+            tokio::select! {
+                _ = &mut attempt => panic!("there is no memory for the response"),
+                () = polls => {}
+            }
+            drop(held);
+            assert_eq!(attempt.await.outcome, Outcome::Success);
+        })
+        .await;
+}
--- a/tests/message_memory.rs
+++ b/tests/message_memory.rs
@@ -123,3 +123,46 @@
     let max_kib = connections as u64 * MAX_OVERHEAD_KIB;
     assert!(memory_kib <= max_kib, "{memory_kib} KiB, at most {max_kib} KiB expected");
 }
+
+/// Memory limit of a node that cannot hold the messages of all its clients at once, in MiB.
+const SMALL_MEMORY_MB: u32 = 24;
+/// Number of clients with an open request at once: a third of the descriptors.
+const MANY_CLIENTS: usize = 341;
+
+/// Starts a node with little memory.
+fn start_small_node(discovery: &StubDiscovery, descriptors: usize) -> Node {
+    Node::start(&NodeConfig::with_list_of(discovery).memory_mb(SMALL_MEMORY_MB).sockets(descriptors))
+}
+
+fn assert_stayed_within_memory_limit(node: &Node) {
+    let memory_kib = node.peak_memory_kib();
+    assert!(memory_kib <= u64::from(SMALL_MEMORY_MB) << 10, "{memory_kib} KiB");
+}
+
+// All bodies together took more than the memory limit, over which a node is killed.
+#[test]
+fn requests_beyond_the_memory_limit_are_rejected() {
+    const BODY_LENGTH: usize = 64 << 10;
+    let endpoint = StubEndpoint::start(|request| Reply::ok(&request.body.len().to_string()));
+    let node = start_small_node(&discovery_with(&endpoint), 1024);
+    let mut clients = node.connect_many(MANY_CLIENTS);
+    for (number, client) in clients.iter_mut().enumerate() {
+        let request = order_with_body(number, BODY_LENGTH);
+        client.write(&request.as_bytes()[..request.len() - 1]);
+    }
+    wait_until("the node has read the requests", || !has_unread_data(node.address));
+    assert_eq!(node.send(&request("read", "usual")).status(), 200);
+    for client in &mut clients {
+        client.write(b"x");
+    }
+    for mut client in clients {
+        let response = client.read_response().expect("a response of the node");
+        match response.status() {
+            200 => assert_eq!(response.body, BODY_LENGTH.to_string().as_bytes()),
+            status => assert_eq!((status, response.header("retry-after").is_some()), (503, true)),
+        }
+        // The request was read to its end, so that the connection can carry another one.
+        assert_eq!(client.send(&request("read", "next")).status(), 200);
+    }
+    assert_stayed_within_memory_limit(&node);
+}
