Limit endpoint lists by the memory that they take, and the table by its endpoints

What callers saw: nothing yet; found on the related paths of message memory. 1,000 endpoints with names of 60,000 bytes, added one by one, took 59 MB (probe); 3,200 would have taken a node of 192 MB over its limit.

Cause: the limit that follows from `memory_mb` was on the number of entries of one list. It did not see the length of names and zones, and changes of the list add up without a list that is too long. Names of zones, and the failure rates of zones, were never forgotten.

Change: an entry counts for one endpoint and one more for each 256 bytes of name and zone, in the parser and in the table of the dispatcher. The table ignores a new endpoint beyond the limit, with a warning and a count; endpoints on it can still change, drain and be removed. Names of zones go with their last endpoint, and no more than 1,024 failure rates are kept.

--- a/lab/src/soak/discovery.rs
+++ b/lab/src/soak/discovery.rs
@@ -94,8 +94,8 @@
     }
 
     /// Tells the oracle of all removals so far, unless a fault keeps the agent from notifying the node. The
-    /// node's time to learn of a removal starts at the removal, or when the agent became reachable if that was
-    /// later, even if the agent has not sent it yet.
+    /// node's time to learn of a removal starts at the removal, or when the agent became reachable if that
+    /// was later, even if the agent has not sent it yet.
     pub fn report_removals(&self) {
         let Some(reachable_since) = *self.reachable_since() else { return };
         for removal in self.endpoints.removals() {
--- a/lab/src/soak/endpoint.rs
+++ b/lab/src/soak/endpoint.rs
@@ -239,7 +239,8 @@
         Self { content, is_rejection: false, closes_connection: true }
     }
 
-    /// Returns one of seven unusual or invalid responses for a draw below 7, and otherwise the valid response.
+    /// Returns one of seven unusual or invalid responses for a draw below 7, and otherwise the valid
+    /// response.
     fn invalid(draw: u32, valid: String) -> Self {
         Self::new(match draw {
             0 => "noise\r\n\r\n".to_owned(),
--- a/lab/src/soak/http.rs
+++ b/lab/src/soak/http.rs
@@ -6,7 +6,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// Time after which an endless message is broken off, longer than any node should take to close its connection.
+/// Time after which an endless message is broken off, longer than any node should take to close its
+/// connection.
 const MAX_ENDLESS_DURATION: Duration = Duration::from_secs(4);
 /// Minimum size of one write of an endless message, in bytes.
 const ENDLESS_WRITE_SIZE: usize = 16 << 10;
--- a/src/bin/edge-gateway/client.rs
+++ b/src/bin/edge-gateway/client.rs
@@ -36,8 +36,8 @@
 }
 
 impl Frontend {
-    /// Creates a frontend that holds at most `max_connections` open connections, and whose requests take their
-    /// memory from `request_memory`.
+    /// Creates a frontend that holds at most `max_connections` open connections, and whose requests take
+    /// their memory from `request_memory`.
     pub fn new(
         dispatcher: Rc<Dispatcher>,
         head_parser: RequestHeadParser,
--- a/src/bin/edge-gateway/client/connection.rs
+++ b/src/bin/edge-gateway/client/connection.rs
@@ -189,8 +189,8 @@
         self.state.get() == ConnectionState::Idle && self.requests_served.get() == 0
     }
 
-    /// Whether the connection has been in its state for longer than allowed, or its client has not read for too
-    /// long.
+    /// Whether the connection has been in its state for longer than allowed, or its client has not read for
+    /// too long.
     pub fn is_timed_out(&self) -> bool {
         self.is_write_blocked_for(WRITE_TIMEOUT)
             || self.timeout().is_some_and(|timeout| self.time_in_state() >= timeout)
--- a/src/bin/edge-gateway/client/tests.rs
+++ b/src/bin/edge-gateway/client/tests.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::clock::Clock;
 use crate::descriptor_budget::DescriptorBudget;
+use crate::dispatcher::DispatcherLimits;
 use crate::memory_budget::{MemoryBudget, MessageMemory};
 use crate::telemetry::metrics::CloseReason;
 use crate::upstream::UpstreamPool;
@@ -27,8 +28,9 @@
     let head_parser = RequestHeadParser::new(&settings, limits);
     let gateway = Gateway::new(settings, 1).expect("settings");
     let memory = MessageMemory::new(MemoryBudget::new(64 << 20, DescriptorBudget::new(64)));
+    let limits = DispatcherLimits { hedging: false, max_endpoints: 1024 };
     let pool = UpstreamPool::new(connection_settings, 10, memory.responses.clone());
-    let dispatcher = Dispatcher::new(gateway, Clock::new(), pool, memory.clone(), false);
+    let dispatcher = Dispatcher::new(gateway, Clock::new(), pool, memory.clone(), limits);
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let client = std::net::TcpStream::connect(listener.local_addr().expect("an address"));
     (
--- a/src/bin/edge-gateway/dispatcher.rs
+++ b/src/bin/edge-gateway/dispatcher.rs
@@ -57,6 +57,15 @@
     startup_grace_ends_at: Cell<Millis>,
 }
 
+/// What the configuration allows the dispatcher.
+#[derive(Clone, Copy, Debug)]
+pub struct DispatcherLimits {
+    /// Whether two attempts of a request may be in flight at once.
+    pub hedging: bool,
+    /// Maximum number of endpoints on the list.
+    pub max_endpoints: usize,
+}
+
 /// The part of the dispatcher that handling an event may change.
 struct State {
     gateway: Gateway,
@@ -73,12 +82,12 @@
 }
 
 impl State {
-    fn new(gateway: Gateway) -> Self {
+    fn new(gateway: Gateway, max_endpoints: usize) -> Self {
         Self {
             gateway,
             requests: RequestTable::default(),
             timers: TimerQueue::default(),
-            endpoints: EndpointTable::default(),
+            endpoints: EndpointTable::new(max_endpoints),
             shutdown_deadline: f64::INFINITY,
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -94,23 +103,23 @@
 }
 
 impl Dispatcher {
-    /// Creates a dispatcher with no pending request and no endpoint. `hedging` says whether two attempts of a
-    /// request may be in flight at once. `memory` is adapted to the number of endpoints.
+    /// Creates a dispatcher with no pending request and no endpoint. `memory` is adapted to the number of
+    /// endpoints.
     pub fn new(
         gateway: Gateway,
         clock: Clock,
         upstream: UpstreamPool,
         memory: MessageMemory,
-        hedging: bool,
+        limits: DispatcherLimits,
     ) -> Rc<Self> {
-        let mut state = State::new(gateway);
+        let mut state = State::new(gateway, limits.max_endpoints);
         let now = clock.now();
         state.timers.set(now + IDLE_SWEEP_PERIOD, Timer::IdleSweep);
         Rc::new(Self {
             state: RefCell::new(state),
             upstream,
             memory,
-            hedging,
+            hedging: limits.hedging,
             clock,
             startup_grace_ends_at: Cell::new(now + STARTUP_GRACE_PERIOD),
         })
--- a/src/bin/edge-gateway/dispatcher/endpoints.rs
+++ b/src/bin/edge-gateway/dispatcher/endpoints.rs
@@ -3,6 +3,7 @@
 //! It gives endpoints their ids, and converts snapshots and deltas of the list to updates for the gateway.
 //! The lists come from discovery. The gateway selects the endpoint for each attempt.
 
+use crate::telemetry::metrics::METRICS;
 use crate::upstream::EndpointInstance;
 use edge_gateway::{
     EndpointId, EndpointList, EndpointListKind, EndpointStatus, EndpointUpdate, Event, ListedEndpoint,
@@ -24,11 +25,17 @@
     /// The cell that the endpoint is in. Endpoints of a cell share idempotency keys.
     pub cell: u32,
     status: ListedStatus,
+    /// For how many endpoints this one counts in the limit on their number.
+    weight: usize,
 }
 
 /// The endpoints on the list that have an address, by id and by name.
-#[derive(Default)]
 pub struct EndpointTable {
+    /// Maximum weight of all endpoints. Changes of the list add endpoints one by one, so that the limit on
+    /// the length of one list does not suffice.
+    max_weight: usize,
+    /// Weight of all endpoints.
+    weight: usize,
     endpoints: HashMap<EndpointId, Endpoint>,
     ids: HashMap<Rc<str>, EndpointId>,
     /// Names of zones; all endpoints of a zone share one string.
@@ -36,6 +43,18 @@
 }
 
 impl EndpointTable {
+    /// Creates an empty table for at most `max_endpoints` endpoints. Those with long texts count for
+    /// [several](ListedEndpoint::weight).
+    pub fn new(max_endpoints: usize) -> Self {
+        Self {
+            max_weight: max_endpoints,
+            weight: 0,
+            endpoints: HashMap::new(),
+            ids: HashMap::new(),
+            interned_zones: HashSet::new(),
+        }
+    }
+
     /// Returns an endpoint; `None` if it is not on the list or has no address.
     pub fn get(&self, id: EndpointId) -> Option<&Endpoint> {
         self.endpoints.get(&id)
@@ -65,8 +84,13 @@
             self.remove_unlisted(&list.endpoints, &close_idle);
         }
         let mut updates = Vec::with_capacity(list.endpoints.len());
+        let mut ignored = 0;
         for listed in list.endpoints {
             let Some(id) = self.find_or_propose_id(&listed) else { continue };
+            if self.get(id).is_none() && self.weight + listed.weight() > self.max_weight {
+                ignored += 1;
+                continue;
+            }
             let zone = self.intern_zone(&listed.zone);
             updates.push(endpoint_update(id, &listed, zone.clone()));
             match listed.address {
@@ -76,6 +100,11 @@
                 _ => self.remove(id, &close_idle),
             }
         }
+        if ignored > 0 {
+            METRICS.record_discovery_result("endpoints_ignored");
+            tracing::warn!(ignored, limit = self.max_weight, "endpoints ignored for lack of memory");
+        }
+        self.release_unused_zones();
         Event::EndpointList { kind, endpoints: updates.into() }
     }
 
@@ -93,6 +122,7 @@
         close_idle(id);
         if let Some(endpoint) = self.endpoints.remove(&id) {
             self.ids.remove(&endpoint.name);
+            self.weight -= endpoint.weight;
         }
     }
 
@@ -109,10 +139,14 @@
         if listed.status == ListedStatus::Draining || is_replaced {
             close_idle(id);
         }
+        let weight = listed.weight();
         let name: Rc<str> = listed.name.into();
         self.ids.insert(name.clone(), id);
-        let endpoint = Endpoint { name, instance, zone, cell: listed.cell, status: listed.status };
-        self.endpoints.insert(id, endpoint);
+        let endpoint = Endpoint { name, instance, zone, cell: listed.cell, status: listed.status, weight };
+        self.weight += weight;
+        if let Some(replaced) = self.endpoints.insert(id, endpoint) {
+            self.weight -= replaced.weight;
+        }
     }
 
     /// Returns the id of a listed endpoint, or an unused id if the endpoint is new. Returns `None` for a new
@@ -136,6 +170,11 @@
         id
     }
 
+    /// Forgets the names of zones that no endpoint and no statistics refer to.
+    fn release_unused_zones(&mut self) {
+        self.interned_zones.retain(|zone| Arc::strong_count(zone) > 1);
+    }
+
     /// Returns the shared string with the name of a zone.
     fn intern_zone(&mut self, name: &str) -> Arc<str> {
         if let Some(zone) = self.interned_zones.get(name) {
--- a/src/bin/edge-gateway/dispatcher/endpoints/tests.rs
+++ b/src/bin/edge-gateway/dispatcher/endpoints/tests.rs
@@ -35,7 +35,7 @@
 fn only_a_snapshot_removes_the_endpoints_that_it_does_not_list() {
     use ListedStatus::Serving;
     let (a, b) = (id_of_name("a"), id_of_name("b"));
-    let mut table = EndpointTable::default();
+    let mut table = EndpointTable::new(1024);
     update(&mut table, list(true, &[("a", Serving, 1.0), ("b", Serving, 1.0)]));
     assert_eq!(
         update(&mut table, list(false, &[("a", Serving, 1.0)])),
@@ -52,7 +52,7 @@
 #[test]
 fn idle_connections_of_a_draining_or_replaced_endpoint_are_closed() {
     let a = id_of_name("a");
-    let mut table = EndpointTable::default();
+    let mut table = EndpointTable::new(1024);
     assert!(update(&mut table, list(true, &[("a", ListedStatus::Serving, 1.0)])).1.is_empty());
     let old = table.get(a).expect("it is listed").instance;
     assert_eq!(update(&mut table, list(false, &[("a", ListedStatus::Serving, 2.0)])).1, [a]);
@@ -67,7 +67,7 @@
 #[test]
 fn an_endpoint_that_is_deleted_or_has_no_address_counts_as_removed() {
     let a = id_of_name("a");
-    let mut table = EndpointTable::default();
+    let mut table = EndpointTable::new(1024);
     let unknown = list(false, &[("a", ListedStatus::Deleted, 1.0)]);
     assert_eq!(update(&mut table, unknown.clone()), (vec![], vec![]));
     update(&mut table, list(true, &[("a", ListedStatus::Serving, 1.0)]));
@@ -81,7 +81,29 @@
 
 #[test]
 fn endpoints_whose_names_collide_get_different_ids() {
-    let mut table = EndpointTable::default();
+    let mut table = EndpointTable::new(1024);
     update(&mut table, list(true, &[("a", ListedStatus::Serving, 1.0)]));
     assert_eq!(table.unused_id("a"), id_of_name("a").wrapping_add(1));
 }
+
+// Only the length of each list was limited, so that changes could add endpoints and zones without end.
+#[test]
+fn changes_add_no_endpoints_beyond_the_limit() {
+    use ListedStatus::{Deleted, Draining, Serving};
+    let mut table = EndpointTable::new(2);
+    let with_zone = |name: &str, status, zone: &str| {
+        let mut list = list(false, &[(name, status, 1.0)]);
+        list.endpoints[0].zone = zone.to_owned();
+        list
+    };
+    update(&mut table, with_zone("a", Serving, "z1"));
+    update(&mut table, with_zone("b", Serving, "z2"));
+    assert!(update(&mut table, with_zone("c", Serving, "z3")).0.is_empty());
+    assert_eq!((table.len(), table.interned_zones.len()), (2, 2));
+    // Endpoints on the list can still change, and make room when they are removed.
+    assert_eq!(update(&mut table, with_zone("a", Draining, "z1")).0, [EndpointStatus::Draining]);
+    update(&mut table, with_zone("a", Deleted, "z1"));
+    assert_eq!(update(&mut table, with_zone("c", Serving, "z3")).0, [EndpointStatus::Ready]);
+    update(&mut table, list(true, &[]));
+    assert_eq!((table.len(), table.weight, table.interned_zones.len()), (0, 0, 0));
+}
--- a/src/bin/edge-gateway/io.rs
+++ b/src/bin/edge-gateway/io.rs
@@ -1,5 +1,6 @@
-//! Bodies of messages, and sockets, streams and listeners that tolerate interrupted and failing system calls. The client side, the
-//! upstream side, discovery and the metrics server use them; they do not depend on requests.
+//! Bodies of messages, and sockets, streams and listeners that tolerate interrupted and failing system calls.
+//! The client side, the upstream side, discovery and the metrics server use them; they do not depend on
+//! requests.
 
 pub mod body;
 pub mod http_error;
--- a/src/bin/edge-gateway/io/body.rs
+++ b/src/bin/edge-gateway/io/body.rs
@@ -26,8 +26,8 @@
 /// When the memory of a body is reserved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReserveMemory {
-    /// As the body is read, so that a peer that announces a long body and sends little of it takes little. If no
-    /// memory is left, the body is discarded.
+    /// As the body is read, so that a peer that announces a long body and sends little of it takes little. If
+    /// no memory is left, the body is discarded.
     AsRead,
     /// Before the body is read, for its whole length. If no memory is left, the body is not read until there
     /// is.
@@ -37,8 +37,8 @@
 /// Reads a body of at most `max_length` bytes to its end. Trailers are discarded.
 ///
 /// # Errors
-/// If the body is longer, its framing is malformed, the connection fails before its end, or there is no memory
-/// left. A body whose announced length is too long is not read at all.
+/// If the body is longer, its framing is malformed, the connection fails before its end, or there is no
+/// memory left. A body whose announced length is too long is not read at all.
 pub async fn read_body(
     mut body: Incoming,
     max_length: usize,
--- a/src/bin/edge-gateway/io/memory_pool.rs
+++ b/src/bin/edge-gateway/io/memory_pool.rs
@@ -36,8 +36,8 @@
         }
     }
 
-    /// Changes the capacity. Memory that is reserved stays so: if the new capacity is lower, only what is free
-    /// is taken away.
+    /// Changes the capacity. Memory that is reserved stays so: if the new capacity is lower, only what is
+    /// free is taken away.
     pub fn resize(&self, capacity: usize) {
         let current = self.capacity.get();
         let capacity = capacity.min(Semaphore::MAX_PERMITS);
@@ -62,8 +62,8 @@
         Some(Reservation::new(permit, self.reserved.clone()))
     }
 
-    /// Reserves this many bytes, or the whole pool if it is smaller, as soon as they are free. Calls are served
-    /// in their order.
+    /// Reserves this many bytes, or the whole pool if it is smaller, as soon as they are free. Calls are
+    /// served in their order.
     ///
     /// # Cancel safety
     /// Dropping the future reserves nothing.
@@ -100,8 +100,8 @@
         self.permit.num_permits()
     }
 
-    /// Reserves more bytes of the same pool, until there are `bytes` of them. Returns whether as many were free;
-    /// if not, nothing has changed.
+    /// Reserves more bytes of the same pool, until there are `bytes` of them. Returns whether as many were
+    /// free; if not, nothing has changed.
     pub fn try_grow(&mut self, pool: &MemoryPool, bytes: usize) -> bool {
         let missing = bytes.saturating_sub(self.bytes());
         let Some(permits) = u32::try_from(missing).ok() else { return false };
--- a/src/bin/edge-gateway/io/read_ahead.rs
+++ b/src/bin/edge-gateway/io/read_ahead.rs
@@ -53,7 +53,8 @@
     bytes_read: Cell<u64>,
     /// Whether hyper's last read found no data: it reads again only when it holds no complete request.
     waiting_for_data: Cell<bool>,
-    /// Whether more arrived than [`MAX_BUFFERED`] or the memory that was left, after which all further data is discarded.
+    /// Whether more arrived than [`MAX_BUFFERED`] or the memory that was left, after which all further data
+    /// is discarded.
     overflowed: Cell<bool>,
     /// Whether hyper's last write found the socket's buffer full.
     write_blocked: Cell<bool>,
@@ -183,8 +184,8 @@
         }
     }
 
-    /// Reserves memory for a buffer of `length` bytes, and gives the buffer as much capacity. Returns whether as
-    /// much memory was left.
+    /// Reserves memory for a buffer of `length` bytes, and gives the buffer as much capacity. Returns whether
+    /// as much memory was left.
     fn reserve_memory(&self, buffer: &mut BytesMut, length: usize) -> bool {
         if length <= buffer.capacity() {
             return true;
--- a/src/bin/edge-gateway/main.rs
+++ b/src/bin/edge-gateway/main.rs
@@ -25,7 +25,7 @@
 use configuration::Configuration;
 use descriptor_budget::DescriptorBudget;
 use discovery::Discovery;
-use dispatcher::Dispatcher;
+use dispatcher::{Dispatcher, DispatcherLimits};
 use edge_gateway::{Gateway, Millis, PollBackoff, Settings, SettingsError};
 use io::listener::listen;
 use memory_budget::{MemoryBudget, MessageMemory};
@@ -121,7 +121,11 @@
 ) -> Rc<Dispatcher> {
     let connection_settings = configuration.connection_settings;
     let pool = UpstreamPool::new(connection_settings, budget.upstream, memory.responses.clone());
-    Dispatcher::new(gateway, Clock::new(), pool, memory.clone(), configuration.settings.hedging)
+    let limits = DispatcherLimits {
+        hedging: configuration.settings.hedging,
+        max_endpoints: configuration.max_endpoints,
+    };
+    Dispatcher::new(gateway, Clock::new(), pool, memory.clone(), limits)
 }
 
 async fn listen_for_clients(address: SocketAddr) -> Result<TcpListener, StartupError> {
--- a/src/bin/edge-gateway/memory_budget.rs
+++ b/src/bin/edge-gateway/memory_budget.rs
@@ -7,15 +7,15 @@
 /// Memory of a node without endpoints, connections and messages, in bytes: program, runtime, timers, metrics
 /// and the records of customers.
 const FIXED_MEMORY: usize = 12 << 20;
-/// Memory of one client connection besides the bodies of its messages, in bytes: its task, hyper's buffers and
-/// the head of a request.
+/// Memory of one client connection besides the bodies of its messages, in bytes: its task, hyper's buffers
+/// and the head of a request.
 const MEMORY_PER_CLIENT_CONNECTION: usize = 24 << 10;
 /// The same of one upstream connection, which may read long responses in long pieces.
 const MEMORY_PER_UPSTREAM_CONNECTION: usize = 48 << 10;
 /// Maximum memory in bytes that one endpoint uses, reached while a complete list replaces another.
 pub const MEMORY_PER_ENDPOINT: usize = 900;
-/// Divisor of the node's memory: messages get one part in this many at least, even if connections and endpoints
-/// leave less.
+/// Divisor of the node's memory: messages get one part in this many at least, even if connections and
+/// endpoints leave less.
 const MIN_MESSAGE_DIVISOR: usize = 8;
 /// Minimum memory for the messages of each direction, in bytes: room for several of the longest.
 const MIN_MEMORY_PER_DIRECTION: usize = 1 << 20;
@@ -28,7 +28,8 @@
 }
 
 impl MemoryBudget {
-    /// Creates the budget of a node that may use `max_bytes` and has as many connections as `descriptors` says.
+    /// Creates the budget of a node that may use `max_bytes` and has as many connections as `descriptors`
+    /// says.
     pub fn new(max_bytes: usize, descriptors: DescriptorBudget) -> Self {
         Self { max_bytes, descriptors }
     }
--- a/src/endpoint_list.rs
+++ b/src/endpoint_list.rs
@@ -49,6 +49,17 @@
     pub started_at: Millis,
 }
 
+/// Length of the texts of an entry that the memory of one endpoint has room for, in bytes.
+const TEXT_LENGTH_PER_ENDPOINT: usize = 256;
+
+impl ListedEndpoint {
+    /// For how many endpoints this one counts in a limit on their number: more than one if its name or its
+    /// zone is long, since these are kept in memory.
+    pub fn weight(&self) -> usize {
+        1 + (self.name.len() + self.zone.len()) / TEXT_LENGTH_PER_ENDPOINT
+    }
+}
+
 /// Whether an endpoint takes requests, as discovery writes it.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "UPPERCASE")]
--- a/src/endpoint_list/parser.rs
+++ b/src/endpoint_list/parser.rs
@@ -32,7 +32,8 @@
     /// The list without its entries is too long.
     #[error("endpoint list without its entries longer than {MAX_TEXT_LENGTH} bytes")]
     EnvelopeTooLong,
-    /// The list has more entries than the parser accepts.
+    /// The list has more entries than the parser accepts, each counted with its
+    /// [weight](ListedEndpoint::weight).
     #[error("endpoint list with more than the maximum of {max_endpoints} entries")]
     TooManyEndpoints {
         /// The maximum that the parser was created with.
@@ -73,7 +74,7 @@
 
 /// An incremental parser of endpoint lists. It holds the entries parsed so far, and the text of at most one.
 pub struct EndpointListParser {
-    /// Maximum number of entries of one list.
+    /// Maximum weight of the entries of one list.
     max_endpoints: usize,
     state: State,
     /// Text of the current list so far, without its entries.
@@ -82,6 +83,8 @@
     entry: Vec<u8>,
     /// Entries of the current list that have been parsed.
     endpoints: Vec<ListedEndpoint>,
+    /// Weight of `endpoints`.
+    weight: usize,
     /// Number of open braces and brackets; 0 between lists.
     depth: usize,
     /// Whether the last byte was part of a string that has not ended.
@@ -93,7 +96,8 @@
 }
 
 impl EndpointListParser {
-    /// Creates a parser that accepts at most `max_endpoints` entries in one list.
+    /// Creates a parser that accepts at most `max_endpoints` entries in one list. Entries with long texts
+    /// count for [several](ListedEndpoint::weight).
     pub fn new(max_endpoints: usize) -> Self {
         Self {
             max_endpoints,
@@ -101,6 +105,7 @@
             envelope: Vec::new(),
             entry: Vec::new(),
             endpoints: Vec::new(),
+            weight: 0,
             depth: 0,
             in_string: false,
             escaped: false,
@@ -205,11 +210,8 @@
     fn parse_byte_between_entries(&mut self, byte: u8) -> ByteResult<()> {
         match (byte, self.state) {
             (b'{', State::ArrayStart | State::AfterComma) => {
-                if self.endpoints.len() >= self.max_endpoints {
-                    return Err(Box::new(EndpointListError::TooManyEndpoints {
-                        max_endpoints: self.max_endpoints,
-                    }));
-                }
+                // Each entry has a weight of at least one.
+                self.check_weight(self.weight + 1)?;
                 self.depth += 1;
                 self.state = State::Entry;
                 self.append(byte)
@@ -240,7 +242,10 @@
             _ => {}
         }
         if self.depth == ARRAY_DEPTH {
-            let entry = serde_json::from_slice(&self.entry).map_err(|error| self.malformed(&error))?;
+            let entry: ListedEndpoint =
+                serde_json::from_slice(&self.entry).map_err(|error| self.malformed(&error))?;
+            self.check_weight(self.weight + entry.weight())?;
+            self.weight += entry.weight();
             self.endpoints.push(entry);
             self.entry.clear();
             self.state = State::AfterEntry;
@@ -248,6 +253,14 @@
         Ok(())
     }
 
+    fn check_weight(&self, weight: usize) -> ByteResult<()> {
+        let max_endpoints = self.max_endpoints;
+        if weight > max_endpoints {
+            return Err(Box::new(EndpointListError::TooManyEndpoints { max_endpoints }));
+        }
+        Ok(())
+    }
+
     /// Appends a byte to the text of the current entry or list.
     fn append(&mut self, byte: u8) -> ByteResult<()> {
         let text = if self.state == State::Entry { &mut self.entry } else { &mut self.envelope };
@@ -277,6 +290,7 @@
             serde_json::from_slice(&self.envelope).map_err(|error| self.malformed(&error))?;
         self.envelope.clear();
         self.last_string.clear();
+        self.weight = 0;
         let endpoints = std::mem::take(&mut self.endpoints);
         Ok(EndpointList { version: envelope.version, is_snapshot: envelope.is_snapshot, endpoints })
     }
--- a/src/endpoint_list/parser/tests.rs
+++ b/src/endpoint_list/parser/tests.rs
@@ -115,3 +115,18 @@
         assert!(error.contains(expected), "{text}: {error}");
     }
 }
+
+// The number of entries was limited and not their length, so that a list could take any memory.
+#[test]
+fn entries_with_long_texts_count_for_several() {
+    let names: Vec<String> = (0..MAX_ENDPOINTS).map(|n| format!("{n}{}", "n".repeat(254))).collect();
+    let entries: Vec<String> = names.iter().map(|name| entry(name)).collect();
+    assert!(parse(&list(1, &entries), 100).is_ok());
+    let mut longer = entries.clone();
+    longer[1] = entry(&format!("{}n", names[1]));
+    let too_many = EndpointListError::TooManyEndpoints { max_endpoints: MAX_ENDPOINTS };
+    assert_eq!(parse(&list(1, &longer), 100), Err(too_many));
+    assert!(parse(&list(1, &longer[..MAX_ENDPOINTS - 1]), 100).is_ok());
+    // The next list starts anew.
+    assert!(parse(&(list(1, &entries) + &list(2, &entries)), 100).is_ok());
+}
--- a/src/load_balancing/zone_statistics.rs
+++ b/src/load_balancing/zone_statistics.rs
@@ -9,6 +9,10 @@
 /// Weight of one attempt in the moving failure rate of its zone.
 const ATTEMPT_WEIGHT: f64 = 0.3;
 
+/// Maximum number of zones with a failure rate. Zones are few; the limit bounds the memory if a list names
+/// ever new ones.
+const MAX_ZONES: usize = 1024;
+
 /// Moving failure rate of the attempts at endpoints of one zone.
 #[derive(Clone, Copy, Debug)]
 struct ZoneFailures {
@@ -35,7 +39,19 @@
         let failures = self.zones.entry(Arc::clone(zone)).or_insert(initial);
         failures.rate += ATTEMPT_WEIGHT * (failure - failures.rate);
         failures.updated_at = now;
-        failures.rate > ATTEMPT_WEIGHT
+        let is_high = failures.rate > ATTEMPT_WEIGHT;
+        if self.zones.len() > MAX_ZONES {
+            self.remove_oldest();
+        }
+        is_high
+    }
+
+    /// Removes the zone without an attempt for longest.
+    fn remove_oldest(&mut self) {
+        let oldest = self.zones.iter().min_by(|(_, a), (_, b)| a.updated_at.total_cmp(&b.updated_at));
+        if let Some(zone) = oldest.map(|(zone, _)| Arc::clone(zone)) {
+            self.zones.remove(&zone);
+        }
     }
 
     /// Returns the failure rate of a zone, which decays with the maximum ejection as its time constant.
@@ -45,3 +61,6 @@
         failures.rate * decay
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/endless_input.rs
+++ b/tests/endless_input.rs
@@ -1,4 +1,5 @@
-//! Peers that send data without end, as fast as the node reads it. They must not delay the requests of others.
+//! Peers that send data without end, as fast as the node reads it. They must not delay the requests of
+//! others.
 
 mod support;
 
@@ -33,8 +34,8 @@
     })
 }
 
-/// Starts discovery with so many entries for an endpoint that the requests of the endless streams do not use up
-/// its capacity.
+/// Starts discovery with so many entries for an endpoint that the requests of the endless streams do not use
+/// up its capacity.
 fn discovery_with(endpoint: &StubEndpoint) -> StubDiscovery {
     let entries: Vec<String> = (0..2 * STREAMS).map(|n| endpoint.entry(&format!("e{n}"))).collect();
     StubDiscovery::with_endpoints(&entries)
@@ -94,8 +95,8 @@
     }
 }
 
-// An attempt with an endless response ends early. If that did not count as a failure of the endpoint, it would
-// look faster than all others and get most requests.
+// An attempt with an endless response ends early. If that did not count as a failure of the endpoint, it
+// would look faster than all others and get most requests.
 #[test]
 fn endpoint_with_endless_responses_is_ejected() {
     const CLIENTS: usize = 8;
--- a/tests/gateway/settings_document.rs
+++ b/tests/gateway/settings_document.rs
@@ -136,8 +136,8 @@
     for key in keys {
         let mut document = complete_document();
         *document.pointer_mut(key).expect("the key exists") = json!(0);
-        // A ceiling without a burst admits nothing. With a quota without a burst, every request is over quota,
-        // and its over-quota cost outweighs serving it.
+        // A ceiling without a burst admits nothing. With a quota without a burst, every request is over
+        // quota, and its over-quota cost outweighs serving it.
         let admits_nothing = key.ends_with("mostAtOnce") || key.ends_with("capDepth");
         let expected = if admits_nothing { ALL_REJECTED } else { ALL_FORWARDED };
         assert_eq!(run_gateway(&document), expected, "with {key} = 0");
--- a/tests/message_memory.rs
+++ b/tests/message_memory.rs
@@ -29,7 +29,8 @@
     node.memory_kib()
 }
 
-// Each piece of a body kept the whole read buffer that it was cut from, some 4 KB, until the body was complete.
+// Each piece of a body kept the whole read buffer that it was cut from, some 4 KB, until the body was
+// complete.
 #[test]
 fn requests_in_small_pieces_take_memory_by_their_bytes() {
     const CLIENTS: usize = 60;
