Keep no more upstream connections than a quarter of the memory has room for

With 32 MB and 1,024 descriptors, 341 responses of 64 KiB that end at the same time took the node to 38,096, 38,940 and 35,688 KB (pieces of 200, 4,000 and 16 bytes).

Cause: the number of connections follows from the descriptors alone. An upstream connection that reads a long response takes up to 48 KiB beside the body; 384 of them exceed the rest.

Change: MemoryBudget lowers the number of upstream connections to a quarter of `memory_mb`. Where that is not less than the descriptors allow, as with 192 MB and 1,024 or 48 MB and 544, nothing changes. Further attempts get no connection, as at the limit of before, and their requests are retried or rejected with Retry-After.

Test: upstream_connections_are_fewer_where_memory_is_short.

--- a/src/bin/edge-gateway/descriptor_budget.rs
+++ b/src/bin/edge-gateway/descriptor_budget.rs
@@ -44,4 +44,10 @@
         let upstream = UPSTREAM_FRACTION.of(available);
         Self { client: available - upstream, upstream, pooled: POOLED_FRACTION.of(upstream) }
     }
+
+    /// Lowers the number of upstream connections to `max_upstream`.
+    pub fn with_max_upstream(self, max_upstream: usize) -> Self {
+        let upstream = self.upstream.min(max_upstream);
+        Self { upstream, pooled: self.pooled.min(POOLED_FRACTION.of(upstream)), ..self }
+    }
 }
--- a/src/bin/edge-gateway/main.rs
+++ b/src/bin/edge-gateway/main.rs
@@ -66,8 +66,9 @@
         // First, since without the handlers each of the signals kills the process.
         let signals = SignalHandlers::install().map_err(StartupError::SignalHandlers)?;
         let configuration = load_with_retry()?;
-        let budget = DescriptorBudget::new(configuration.max_descriptors);
-        let gateway = new_gateway(&configuration, budget)?;
+        let descriptors = DescriptorBudget::new(configuration.max_descriptors);
+        let budget = MemoryBudget::new(configuration.max_memory, descriptors);
+        let gateway = new_gateway(&configuration, budget.descriptors())?;
         serve(configuration, budget, gateway, signals).await
     })
 }
@@ -85,13 +86,13 @@
 /// Starts all parts of the node, and shuts it down when SIGTERM or SIGINT is received.
 async fn serve(
     mut configuration: Configuration,
-    budget: DescriptorBudget,
+    budget: MemoryBudget,
     gateway: Gateway,
     signals: SignalHandlers,
 ) -> Result<(), StartupError> {
     let (mut termination, hangups) = signals.split();
-    let memory = MessageMemory::new(MemoryBudget::new(configuration.max_memory, budget));
-    let dispatcher = new_dispatcher(&configuration, budget, &memory, gateway);
+    let memory = MessageMemory::new(budget);
+    let dispatcher = new_dispatcher(&configuration, budget.descriptors(), &memory, gateway);
     let cached_version = configuration.cached_endpoints.as_ref().map(|list| list.version);
     if let Some(endpoints) = configuration.cached_endpoints.take() {
         dispatcher.update_endpoints(endpoints);
@@ -103,7 +104,8 @@
         spawn_local(time_polls(TaskKind::Metrics, metrics_server::serve(address)));
     }
     let head_parser = RequestHeadParser::new(&configuration.settings, configuration.request_limits);
-    let frontend = Frontend::new(dispatcher.clone(), head_parser, memory.requests, budget.client);
+    let frontend =
+        Frontend::new(dispatcher.clone(), head_parser, memory.requests, budget.descriptors().client);
     let accept_task = spawn_local(time_polls(TaskKind::Accept, frontend.clone().accept(listener)));
     termination.recv().await;
     tracing::info!("shutting down");
--- a/src/bin/edge-gateway/memory_budget.rs
+++ b/src/bin/edge-gateway/memory_budget.rs
@@ -14,6 +14,8 @@
 const MEMORY_PER_UPSTREAM_CONNECTION: usize = 48 << 10;
 /// Maximum memory in bytes that one endpoint uses, reached while a complete list replaces another.
 pub const MEMORY_PER_ENDPOINT: usize = 900;
+/// Divisor of the node's memory: upstream connections may use one part in this many.
+const UPSTREAM_DIVISOR: usize = 4;
 /// Divisor of the node's memory: messages get one part in this many at least, even if connections and
 /// endpoints leave less.
 const MIN_MESSAGE_DIVISOR: usize = 8;
@@ -28,10 +30,16 @@
 }
 
 impl MemoryBudget {
-    /// Creates the budget of a node that may use `max_bytes` and has as many connections as `descriptors`
-    /// says.
+    /// Creates the budget of a node that may use `max_bytes`, and the connections that `descriptors` allows.
     pub fn new(max_bytes: usize, descriptors: DescriptorBudget) -> Self {
-        Self { max_bytes, descriptors }
+        let max_upstream = max_bytes / UPSTREAM_DIVISOR / MEMORY_PER_UPSTREAM_CONNECTION;
+        Self { max_bytes, descriptors: descriptors.with_max_upstream(max_upstream.max(1)) }
+    }
+
+    /// The descriptors that the node may use. Where memory is short, there are fewer for upstream connections
+    /// than the limit on descriptors allows.
+    pub fn descriptors(&self) -> DescriptorBudget {
+        self.descriptors
     }
 
     /// Memory in bytes for the messages of each of the two directions, with this many endpoints.
--- a/src/bin/edge-gateway/memory_budget/tests.rs
+++ b/src/bin/edge-gateway/memory_budget/tests.rs
@@ -20,3 +20,13 @@
 fn messages_get_a_part_in_any_case() {
     assert_eq!(budget(32, 1024).messages_per_direction(usize::MAX), 2 * MIB);
 }
+
+#[test]
+fn upstream_connections_are_fewer_where_memory_is_short() {
+    let descriptors = DescriptorBudget::new(1024);
+    assert_eq!(budget(192, 1024).descriptors(), descriptors);
+    let limited = budget(32, 1024).descriptors();
+    assert!(limited.upstream * MEMORY_PER_UPSTREAM_CONNECTION <= 32 * MIB / UPSTREAM_DIVISOR);
+    assert!(limited.upstream < descriptors.upstream && limited.pooled < limited.upstream);
+    assert_eq!(limited.client, descriptors.client);
+}
