Measure the memory of nodes that hold long messages, in both directions

`fleet-lab memory` starts a node for each combination of memory limit, number of clients, length of the bodies and of the pieces, has all clients or endpoints hold back the ends of their messages, and compares the peak with the bytes sent, 64 KB for each connection, and the limit. Usual requests run beside. It fails if a case takes too much or a request is not answered. NodeProcess takes a NodeConfiguration in place of five arguments.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -4,7 +4,7 @@
 mod sizes;
 
 use serde::Deserialize;
-pub use sizes::{FleetSizes, NodesSizes, SlopeSizes, SoakSizes};
+pub use sizes::{FleetSizes, MemorySizes, NodesSizes, SlopeSizes, SoakSizes};
 use std::path::{Path, PathBuf};
 use thiserror::Error;
 
@@ -18,6 +18,8 @@
     pub fleet: FleetSizes,
     /// Sizes of `nodes`.
     pub nodes: NodesSizes,
+    /// Sizes of `memory`.
+    pub memory: MemorySizes,
     /// Sizes of `soak`.
     pub soak: SoakSizes,
 }
@@ -71,6 +73,7 @@
         self.slope.shorten();
         self.fleet.shorten();
         self.nodes.shorten();
+        self.memory.shorten();
         self.soak.shorten();
     }
 
@@ -78,6 +81,7 @@
         self.slope.validate()?;
         self.fleet.validate()?;
         self.nodes.validate()?;
+        self.memory.validate()?;
         self.soak.validate()
     }
 }
--- a/lab/src/experiment/sizes.rs
+++ b/lab/src/experiment/sizes.rs
@@ -196,6 +196,62 @@
     }
 }
 
+/// Sizes of the measurement of memory. All combinations are measured.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct MemorySizes {
+    /// Memory limits of the node, in MB.
+    pub memory_limits_mb: Vec<u32>,
+    /// Numbers of clients with a long message.
+    pub clients: Vec<usize>,
+    /// Lengths of the bodies, in bytes.
+    pub body_lengths: Vec<usize>,
+    /// Lengths of the pieces in which the bodies are written, in bytes.
+    pub piece_lengths: Vec<usize>,
+    /// Maximum number of pieces of a request; the rest is written at once, since the node waits 2.3 s for it.
+    pub max_pieces: usize,
+    /// Time for which all messages are incomplete, in milliseconds.
+    pub pause_ms: u64,
+    /// Path of the node program. The default is the release build.
+    pub program: PathBuf,
+}
+
+impl Default for MemorySizes {
+    fn default() -> Self {
+        Self {
+            memory_limits_mb: vec![32, 64, 192],
+            clients: vec![1, 100, 341],
+            body_lengths: vec![1 << 10, 64 << 10],
+            piece_lengths: vec![1, 16, 200, 4_000],
+            max_pieces: 200,
+            pause_ms: 100,
+            program: PathBuf::from("target/release/edge-gateway"),
+        }
+    }
+}
+
+impl MemorySizes {
+    /// Leaves out most combinations, for a run of some seconds.
+    pub(super) fn shorten(&mut self) {
+        self.memory_limits_mb.truncate(1);
+        self.clients.drain(..self.clients.len().saturating_sub(1));
+        self.body_lengths.drain(..self.body_lengths.len().saturating_sub(1));
+        self.max_pieces = self.max_pieces.min(100);
+    }
+
+    /// Returns an error if a size is out of range.
+    pub(super) fn validate(&self) -> Result<(), ExperimentError> {
+        let lengths = [&self.clients, &self.body_lengths, &self.piece_lengths];
+        let is_invalid = |sizes: &Vec<usize>| sizes.is_empty() || sizes.contains(&0);
+        reject_if(
+            lengths.into_iter().any(is_invalid)
+                || self.memory_limits_mb.is_empty()
+                || self.memory_limits_mb.contains(&0),
+            "memory: limits, clients, body_lengths and piece_lengths must not be empty or contain 0",
+        )
+    }
+}
+
 /// Sizes of the soak under faults.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(default, deny_unknown_fields)]
--- a/lab/src/experiment/tests.rs
+++ b/lab/src/experiment/tests.rs
@@ -108,5 +108,5 @@
         runs: 33,
         program: "soak-program".into(),
     };
-    assert_eq!(read, Experiment { slope, fleet, nodes, soak });
+    assert_eq!(read, Experiment { slope, fleet, nodes, memory: MemorySizes::default(), soak });
 }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -6,6 +6,7 @@
 mod experiment;
 mod fit;
 mod fleet;
+mod memory;
 mod nodes;
 mod report;
 mod slope;
@@ -13,7 +14,8 @@
 
 use clap::{Parser, Subcommand};
 use experiment::Experiment;
-use nodes::ProcessError;
+use memory::MemoryError;
+use nodes::process::ProcessError;
 use peak_alloc::PeakAlloc;
 use report::Report;
 use soak::SoakError;
@@ -58,6 +60,8 @@
     Fleet,
     /// Measure node processes on loopback, with stand-ins for discovery and endpoints.
     Nodes,
+    /// Measure the memory of node processes that hold many long messages, in pieces, in both directions.
+    Memory,
     /// Run node processes on loopback under overlapping faults, and check them against the rules.
     Soak,
 }
@@ -69,6 +73,7 @@
             Command::Slope => "slope",
             Command::Fleet => "fleet",
             Command::Nodes => "nodes",
+            Command::Memory => "memory",
             Command::Soak => "soak",
         }
     }
@@ -91,6 +96,9 @@
     /// A node process could not be started or used.
     #[error(transparent)]
     Nodes(#[from] ProcessError),
+    /// A node took too much memory.
+    #[error(transparent)]
+    Memory(#[from] MemoryError),
     /// The soak failed.
     #[error(transparent)]
     Soak(#[from] SoakError),
@@ -134,6 +142,12 @@
         Command::Slope => slope::run(&experiment.slope, seed, &mut report).map_err(CommandError::Slope)?,
         Command::Fleet => fleet::run(&experiment.fleet, seed, &mut report),
         Command::Nodes => nodes::run(&experiment.nodes, seed, &mut report)?,
+        Command::Memory => {
+            let result = memory::run(&experiment.memory, seed, &mut report);
+            // The report is written even if a node took too much memory.
+            write_report(&report, out)?;
+            return Ok(result?);
+        }
         Command::Soak => {
             let result = soak::run(&experiment.soak, seed, out, &mut report);
             // The report is written even if a rule was violated.
--- a/lab/src/nodes.rs
+++ b/lab/src/nodes.rs
@@ -1,25 +1,25 @@
 //! The command `nodes`: node processes on loopback, with stand-ins for discovery and endpoints. It measures
 //! what a simulated gateway cannot show: added latency, start time, and CPU time and memory of a process.
 
-mod process;
-mod standins;
+pub mod process;
+pub mod standins;
 
-use crate::deployment::{endpoint_entry_json, endpoint_list_json, zone_name};
+use crate::deployment::{endpoint_entry_json, endpoint_list_json};
 use crate::experiment::NodesSizes;
 use crate::report::Report;
 use hdrhistogram::Histogram;
-use process::NodeProcess;
+use process::{NodeConfiguration, NodeProcess, ProcessError};
 use standins::{send_request, Discovery, Endpoint};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
-pub use process::ProcessError;
-
 /// Zones of the endpoints.
 const ZONES: u32 = 16;
 /// Number of stand-in endpoints. The entries of the endpoint list are assigned their addresses in turn.
 const STAND_IN_ENDPOINTS: usize = 28;
+/// Memory limit of each process, in MB.
+const MEMORY_MB: u32 = 64;
 /// How long a process may take to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Maximum memory of all processes together, in KB: less than half of the memory of the test machine.
@@ -37,7 +37,7 @@
     let addresses: Vec<SocketAddr> = endpoints.iter().map(|endpoint| endpoint.address).collect();
     for (name, count) in [("few servers", sizes.few_endpoints), ("many servers", sizes.endpoints)] {
         let discovery = Discovery::start(endpoint_list_json(1, count, ZONES, &addresses))?;
-        let process = NodeProcess::start(&sizes.program, discovery.address, 0, sizes.processes, seed)?;
+        let process = NodeProcess::start(&sizes.program, &configuration(sizes, discovery.address, 0, seed))?;
         process.wait_until_ready(READY_TIMEOUT)?;
         report_added_latency(name, sizes, process.address, addresses[0], report)?;
     }
@@ -64,7 +64,8 @@
             tracing::info!("starting process {rank} of {}", sizes.processes);
         }
         let started_at = Instant::now();
-        let process = NodeProcess::start(&sizes.program, discovery.address, rank, sizes.processes, seed)?;
+        let process =
+            NodeProcess::start(&sizes.program, &configuration(sizes, discovery.address, rank, seed))?;
         process.wait_until_ready(READY_TIMEOUT)?;
         max_start_time = max_start_time.max(started_at.elapsed());
         let memory_kb = process.peak_memory_kb()?;
@@ -188,17 +189,7 @@
     }
 }
 
-/// The configuration file of a node process.
-fn configuration_json(discovery: SocketAddr, rank: u32, processes: u32, seed: u64) -> String {
-    let zone = zone_name(rank, ZONES);
-    format!(
-        r#"{{"name":"n{rank}","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"{seed:x}",
-"limits":{{"cores":1.0,"memory_mb":64,"sockets":1024}},"known":null,"settings":{{
-"allowed":{{"cancel":true,"connectTimeoutMs":250,"keepaliveMs":30000,"maxRetryAfterMs":500,
-"mostTries":3,"retryAfter":true}},
-"az":"{zone}","balancers":{processes},"rank":{rank},"discovery":"automatic",
-"classes":[{{"name":"book","aimMs":400,"deadlineMs":1500,"worth":1,"effect":"safe"}}],
-"contracts":[{{"name":"any"}}],"prices":{{"crossZone":0.01,"handshake":0.01}},
-"rules":{{"coldFrom":0.2,"warmAfterMs":10000,"fallMultiple":2,"overloadForMs":1000}}}}}}"#
-    )
+/// The configuration of a node that watches `discovery`.
+fn configuration(sizes: &NodesSizes, discovery: SocketAddr, rank: u32, seed: u64) -> NodeConfiguration {
+    NodeConfiguration { discovery, rank, processes: sizes.processes, seed, memory_mb: MEMORY_MB }
 }
--- a/lab/src/nodes/process.rs
+++ b/lab/src/nodes/process.rs
@@ -1,8 +1,9 @@
 //! An edge node that runs as a child process.
 
-use super::configuration_json;
 use super::standins::is_ready;
+use super::ZONES;
 use crate::cpu_time;
+use crate::deployment::zone_name;
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -40,6 +41,40 @@
     Io(#[from] io::Error),
 }
 
+/// What differs between the configurations of node processes.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeConfiguration {
+    /// Address of discovery.
+    pub discovery: SocketAddr,
+    /// Rank of the node in its fleet.
+    pub rank: u32,
+    /// Number of nodes in the fleet.
+    pub processes: u32,
+    /// Seed of the node's random numbers.
+    pub seed: u64,
+    /// Memory limit in MB.
+    pub memory_mb: u32,
+}
+
+impl NodeConfiguration {
+    /// Returns the text of the configuration file.
+    fn to_json(self) -> String {
+        let Self { discovery, rank, processes, seed, memory_mb } = self;
+        let zone = zone_name(rank, ZONES);
+        format!(
+            r#"{{"name":"n{rank}","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"{seed:x}",
+"limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":1024}},"known":null,"settings":{{
+"allowed":{{"cancel":true,"connectTimeoutMs":250,"keepaliveMs":30000,"maxRetryAfterMs":500,
+"mostTries":3,"retryAfter":true}},
+"az":"{zone}","balancers":{processes},"rank":{rank},"discovery":"automatic",
+"classes":[{{"name":"book","aimMs":400,"deadlineMs":1500,"worth":1,"effect":"safe"}},
+{{"name":"pay","aimMs":8000,"deadlineMs":20000,"worth":1,"effect":"unsafe"}}],
+"contracts":[{{"name":"any"}}],"prices":{{"crossZone":0.01,"handshake":0.01}},
+"rules":{{"coldFrom":0.2,"warmAfterMs":10000,"fallMultiple":2,"overloadForMs":1000}}}}}}"#
+        )
+    }
+}
+
 /// A running edge node. Dropping it kills the process and removes its configuration file.
 pub struct NodeProcess {
     /// Address at which it accepts requests.
@@ -49,17 +84,14 @@
 }
 
 impl NodeProcess {
-    /// Starts a node and waits until it listens. `rank` is its rank in a fleet of `processes` nodes.
-    pub fn start(
-        program: &Path,
-        discovery: SocketAddr,
-        rank: u32,
-        processes: u32,
-        seed: u64,
-    ) -> Result<Self, ProcessError> {
-        let name = format!("fleet-lab-{}-{rank}.json", std::process::id());
+    /// Starts a node and waits until it listens.
+    ///
+    /// # Errors
+    /// If the program cannot be started, or does not report its address.
+    pub fn start(program: &Path, configuration: &NodeConfiguration) -> Result<Self, ProcessError> {
+        let name = format!("fleet-lab-{}-{}.json", std::process::id(), configuration.rank);
         let path = std::env::temp_dir().join(name);
-        std::fs::write(&path, configuration_json(discovery, rank, processes, seed))?;
+        std::fs::write(&path, configuration.to_json())?;
         let child = Command::new(program)
             .env("RELAY_CONFIG", &path)
             .stdin(Stdio::null())
@@ -94,10 +126,20 @@
 
     /// Peak resident memory of the process, in KB.
     pub fn peak_memory_kb(&self) -> io::Result<u64> {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let peak = line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok());
-        peak.ok_or_else(|| io::Error::other(format!("no VmHWM in /proc/{}/status", self.child.id())))
+        self.memory_field_kb("VmHWM:")
+    }
+
+    /// Resident memory of the process, in KB.
+    pub fn memory_kb(&self) -> io::Result<u64> {
+        self.memory_field_kb("VmRSS:")
+    }
+
+    fn memory_field_kb(&self, field: &str) -> io::Result<u64> {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(&path)?;
+        let value = status.lines().find_map(|line| line.strip_prefix(field));
+        let value = value.and_then(|value| value.trim().trim_end_matches(" kB").parse().ok());
+        value.ok_or_else(|| io::Error::other(format!("no {field} in {path}")))
     }
 
     /// CPU time that the process has used, in seconds.
--- a/lab/src/nodes/standins.rs
+++ b/lab/src/nodes/standins.rs
@@ -15,12 +15,12 @@
 const STACK_BYTES: usize = 128 << 10;
 
 /// Starts a detached thread.
-fn spawn_thread(work: impl FnOnce() + Send + 'static) -> io::Result<()> {
+pub fn spawn_thread(work: impl FnOnce() + Send + 'static) -> io::Result<()> {
     std::thread::Builder::new().stack_size(STACK_BYTES).spawn(work).map(drop)
 }
 
 /// Reads an HTTP message, and returns its start line, or `None` if the connection was closed.
-fn read_message(stream: &mut BufReader<TcpStream>) -> io::Result<Option<String>> {
+pub fn read_message(stream: &mut BufReader<TcpStream>) -> io::Result<Option<String>> {
     let (mut start_line, mut body_length) = (String::new(), 0);
     loop {
         let mut line = String::new();
