--- a/lab/src/memory.rs
+++ b/lab/src/memory.rs
@@ -1,6 +1,6 @@
 //! The command `memory`: one node process for each case, whose clients or endpoints write long messages in
 //! pieces and complete them all at the same time. It compares the memory of the node with the bytes that it
-//! holds and with its limit, and measures the latency of usual requests beside them.
+//! holds and with its limit, and measures the latency of background requests beside them.
 
 mod client;
 mod endpoint;
@@ -10,7 +10,7 @@
 use crate::nodes::process::{NodeConfiguration, NodeProcess, ProcessError};
 use crate::nodes::standins::Discovery;
 use crate::report::Report;
-use client::{send_usual_requests, Crowd, Outcomes};
+use client::{send_background_requests, ConcurrentClients, Outcomes};
 use endpoint::PausingEndpoint;
 use std::fmt;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -18,7 +18,7 @@
 use thiserror::Error;
 
 /// Entries of the endpoint list. All have the address of one stand-in.
-const LISTED_ENDPOINTS: u32 = 400;
+const ENDPOINTS: u32 = 400;
 /// Zones of the endpoints.
 const ZONES: u32 = 16;
 /// How long a process may take to become ready.
@@ -65,7 +65,7 @@
     /// Bytes of all long messages that were sent to the node, and [`MAX_OVERHEAD_KB`] for each connection, in KB.
     max_memory_kb: u64,
     long: Outcomes,
-    usual: Outcomes,
+    background: Outcomes,
 }
 
 /// Why the command failed.
@@ -104,7 +104,7 @@
         report_case(&case, &measurement, report);
         over_bound += u32::from(measurement.memory_above_idle_kb > measurement.max_memory_kb);
         over_limit += u32::from(measurement.peak_memory_kb > u64::from(case.memory_mb) << 10);
-        unanswered += measurement.long.unanswered + measurement.usual.unanswered;
+        unanswered += measurement.long.unanswered + measurement.background.unanswered;
     }
     report.add_value("cases beyond the bytes sent, count", f64::from(over_bound));
     report.add_value("cases beyond the memory limit, count", f64::from(over_limit));
@@ -135,7 +135,7 @@
 /// Starts a node, has its clients or its endpoints hold back the last byte of each message, and releases them.
 fn measure(case: &Case, sizes: &MemorySizes, seed: u64) -> Result<Measurement, MemoryError> {
     let endpoint = PausingEndpoint::start(case.direction, case.body_length, case.piece_length)?;
-    let list = endpoint_list_json(1, LISTED_ENDPOINTS, ZONES, &[endpoint.address]);
+    let list = endpoint_list_json(1, ENDPOINTS, ZONES, &[endpoint.address]);
     let discovery = Discovery::start(list)?;
     let configuration = NodeConfiguration {
         discovery: discovery.address,
@@ -146,20 +146,19 @@
     };
     let process = NodeProcess::start(&sizes.program, &configuration)?;
     process.wait_until_ready(READY_TIMEOUT)?;
-    let ended = AtomicBool::new(false);
     // The code that serves a request is in memory after the first one.
-    ended.store(true, Ordering::Relaxed);
-    send_usual_requests(process.address, &ended)?;
-    ended.store(false, Ordering::Relaxed);
+    send_background_requests(process.address, &AtomicBool::new(true))?;
+    let ended = AtomicBool::new(false);
     let idle_memory_kb = process.memory_kb()?;
-    let (long, usual) = std::thread::scope(|scope| {
-        let usual = scope.spawn(|| send_usual_requests(process.address, &ended));
-        let long = run_crowd(case, sizes, &process, &endpoint);
+    let (long, background) = std::thread::scope(|scope| {
+        let background = scope.spawn(|| send_background_requests(process.address, &ended));
+        let long = send_concurrent_requests(case, sizes, &process, &endpoint);
         ended.store(true, Ordering::Relaxed);
-        (long, usual.join())
+        (long, background.join())
     });
     let (long, bytes) = long?;
-    let usual = usual.map_err(|_| std::io::Error::other("the thread of the usual requests panicked"))??;
+    let background =
+        background.map_err(|_| std::io::Error::other("the thread of the background requests panicked"))??;
     let peak_memory_kb = process.peak_memory_kb()?;
     let connections = (case.clients + 1 + endpoint.accepted_connections()) as u64;
     Ok(Measurement {
@@ -167,13 +166,13 @@
         peak_memory_kb,
         max_memory_kb: bytes / 1024 + connections * MAX_OVERHEAD_KB,
         long,
-        usual,
+        background,
     })
 }
 
 /// Sends the requests of all clients. Returns their outcomes, and how many bytes of long messages were sent to
 /// the node.
-fn run_crowd(
+fn send_concurrent_requests(
     case: &Case,
     sizes: &MemorySizes,
     process: &NodeProcess,
@@ -183,28 +182,28 @@
         Direction::Requests => case.body_length,
         Direction::Responses => 1,
     };
-    let mut crowd = Crowd::connect(process.address, case.clients, request_length)?;
-    crowd.write_in_pieces(case.piece_length, sizes.max_pieces)?;
+    let mut clients = ConcurrentClients::connect(process.address, case.clients, request_length)?;
+    clients.write_in_pieces(case.piece_length, sizes.max_pieces)?;
     if case.direction == Direction::Responses {
-        crowd.write_last_byte()?;
+        clients.write_last_byte()?;
         endpoint.wait_until_paused(case.clients);
     }
     // The node has the time to read what was sent to it.
     std::thread::sleep(Duration::from_millis(sizes.pause_ms));
     endpoint.release();
     if case.direction == Direction::Requests {
-        crowd.write_last_byte()?;
+        clients.write_last_byte()?;
     }
-    let outcomes = crowd.read_responses();
+    let outcomes = clients.read_responses();
     let bytes = match case.direction {
-        Direction::Requests => crowd.bytes_written(),
+        Direction::Requests => clients.bytes_written(),
         Direction::Responses => endpoint.bytes_written(),
     };
     Ok((outcomes, bytes))
 }
 
 fn report_case(case: &Case, measurement: &Measurement, report: &mut Report) {
-    let Measurement { memory_above_idle_kb, peak_memory_kb, max_memory_kb, long, usual } = measurement;
+    let Measurement { memory_above_idle_kb, peak_memory_kb, max_memory_kb, long, background } = measurement;
     let mut add = |name: &str, value: f64| report.add_value(format!("{case}: {name}"), value);
     add("memory above idle, KB", *memory_above_idle_kb as f64);
     add("bytes sent and overhead, KB", *max_memory_kb as f64);
@@ -212,7 +211,10 @@
     add("served, count", f64::from(long.served));
     add("rejected, count", f64::from(long.rejected));
     add("failed, count", f64::from(long.failed));
-    add("usual requests served, count", f64::from(usual.served));
-    add("usual requests not served, count", f64::from(usual.rejected + usual.failed + usual.unanswered));
-    add("slowest usual request, ms", usual.slowest.as_secs_f64() * 1_000.0);
+    add("background requests served, count", f64::from(background.served));
+    add(
+        "background requests not served, count",
+        f64::from(background.rejected + background.failed + background.unanswered),
+    );
+    add("slowest background request, ms", background.slowest.as_secs_f64() * 1_000.0);
 }
--- a/lab/src/memory/client.rs
+++ b/lab/src/memory/client.rs
@@ -1,4 +1,4 @@
-//! Clients that write their requests in pieces, all at the same time, and the usual client beside them.
+//! Clients that write their requests in pieces, all at the same time, and the background client beside them.
 
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -7,7 +7,7 @@
 
 /// How long a client waits for its response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(20);
-/// Time between a response to the usual client and its next request.
+/// Time between a response of the background client and its next request.
 const THINK_TIME: Duration = Duration::from_millis(20);
 
 /// What became of a number of requests.
@@ -39,14 +39,14 @@
 }
 
 /// Clients with one long request each.
-pub struct Crowd {
+pub struct ConcurrentClients {
     clients: Vec<(TcpStream, Vec<u8>)>,
     /// Number of bytes that each client has written.
     written: usize,
     started_at: Instant,
 }
 
-impl Crowd {
+impl ConcurrentClients {
     /// Connects clients that are about to send a request with a body of this length.
     pub fn connect(node: SocketAddr, count: usize, body_length: usize) -> io::Result<Self> {
         let started_at = Instant::now();
@@ -101,7 +101,7 @@
 }
 
 /// Sends short requests one after another until `ended` is true, one at least.
-pub fn send_usual_requests(node: SocketAddr, ended: &AtomicBool) -> io::Result<Outcomes> {
+pub fn send_background_requests(node: SocketAddr, ended: &AtomicBool) -> io::Result<Outcomes> {
     let mut stream = TcpStream::connect(node)?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(RESPONSE_TIMEOUT))?;
@@ -118,7 +118,7 @@
     Ok(outcomes)
 }
 
-/// A request with a long body. Ids and customers differ from those of the usual client.
+/// A request with a long body. Ids and customers differ from those of the background client.
 fn long_request(number: usize, body_length: usize) -> Vec<u8> {
     let length = format!("Content-Length: {body_length}\r\n");
     let mut request = head("POST", "pay", 1_000_000 + number, &length).into_bytes();
--- a/lab/src/memory/endpoint.rs
+++ b/lab/src/memory/endpoint.rs
@@ -84,11 +84,11 @@
 /// A response whose body has this length and comes in chunks of `piece_length`, without its end.
 fn chunked_response(body_length: usize, piece_length: usize) -> Vec<u8> {
     let mut response = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
-    let mut left = body_length;
-    while left > 0 {
-        let length = piece_length.min(left);
+    let mut remaining = body_length;
+    while remaining > 0 {
+        let length = piece_length.min(remaining);
         response.extend(format!("{length:x}\r\n{}\r\n", "x".repeat(length)).bytes());
-        left -= length;
+        remaining -= length;
     }
     response
 }
@@ -118,8 +118,8 @@
         state.paused += 1;
         state.bytes_written += (beginning.len() + end.len()) as u64;
         self.changed.notify_all();
-        let is_held = |state: &mut State| !state.is_released;
-        drop(self.changed.wait_while(state, is_held).unwrap_or_else(PoisonError::into_inner));
+        let is_waiting = |state: &mut State| !state.is_released;
+        drop(self.changed.wait_while(state, is_waiting).unwrap_or_else(PoisonError::into_inner));
         stream.write_all(end)
     }
 }
--- a/src/bin/edge-gateway/client/handler.rs
+++ b/src/bin/edge-gateway/client/handler.rs
@@ -73,14 +73,14 @@
         };
         // After an invalid request the connection is closed: the request may not have been read to its end,
         // so the start of the next one is unknown. This also slows down clients that send invalid ones only.
-        let leaves_unread_data = result.as_ref().is_err_and(RequestError::leaves_unread_data);
+        let requires_close = result.as_ref().is_err_and(RequestError::requires_close);
         let mut response = match result {
             Ok(response) => response,
             Err(RequestError::Connection(error)) => return Err(error),
             Err(RequestError::MemoryExhausted) => self.memory_rejection(),
             Err(error) => error_response(&error),
         };
-        if self.should_close(connection, stream) || leaves_unread_data || stream.has_overflowed() {
+        if self.should_close(connection, stream) || requires_close || stream.has_overflowed() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
@@ -162,8 +162,8 @@
     fn drop(&mut self) {
         if let Some(id) = self.open_request.take() {
             let was_open = self.dispatcher.client_disconnected(&id);
-            let client_has_left = self.stream.is_disconnected() || self.stream.is_write_blocked();
-            if was_open && !client_has_left {
+            let is_client_gone = self.stream.is_disconnected() || self.stream.is_write_blocked();
+            if was_open && !is_client_gone {
                 METRICS.record_violation(Violation::ClosedOpenRequest, &id);
             }
         }
--- a/src/bin/edge-gateway/client/request.rs
+++ b/src/bin/edge-gateway/client/request.rs
@@ -57,8 +57,9 @@
 }
 
 impl RequestError {
-    /// Whether the request was not read to its end, so that the start of the next one is unknown.
-    pub fn leaves_unread_data(&self) -> bool {
+    /// Whether the connection must be closed behind the response: the request was not read to its end, so that
+    /// the start of the next one is unknown.
+    pub fn requires_close(&self) -> bool {
         !matches!(self, RequestError::MemoryExhausted)
     }
 
--- a/src/bin/edge-gateway/io/body.rs
+++ b/src/bin/edge-gateway/io/body.rs
@@ -117,6 +117,6 @@
     fn into_bytes(mut self) -> Bytes {
         self.bytes.shrink_to_fit();
         self.reservation.shrink(self.bytes.len());
-        self.reservation.hold(self.bytes)
+        self.reservation.attach_to(self.bytes)
     }
 }
--- a/src/bin/edge-gateway/io/memory_pool.rs
+++ b/src/bin/edge-gateway/io/memory_pool.rs
@@ -120,9 +120,9 @@
         }
     }
 
-    /// Converts bytes for which this was reserved; it is held until the last of them is dropped.
-    pub fn hold(self, bytes: Vec<u8>) -> Bytes {
-        Bytes::from_owner(HeldBytes { bytes, _reservation: self })
+    /// Attaches the reservation to the bytes that it was made for, until the last clone of them is dropped.
+    pub fn attach_to(self, bytes: Vec<u8>) -> Bytes {
+        Bytes::from_owner(ReservedBytes { bytes, _reservation: self })
     }
 }
 
@@ -133,12 +133,12 @@
 }
 
 /// Bytes with the reservation of their memory.
-struct HeldBytes {
+struct ReservedBytes {
     bytes: Vec<u8>,
     _reservation: Reservation,
 }
 
-impl AsRef<[u8]> for HeldBytes {
+impl AsRef<[u8]> for ReservedBytes {
     fn as_ref(&self) -> &[u8] {
         &self.bytes
     }
--- a/src/bin/edge-gateway/memory_budget/tests.rs
+++ b/src/bin/edge-gateway/memory_budget/tests.rs
@@ -7,7 +7,7 @@
 }
 
 #[test]
-fn messages_get_what_connections_and_endpoints_leave() {
+fn connections_and_endpoints_reduce_message_memory() {
     let budget = budget(192, 1024);
     let without_endpoints = 2 * budget.messages_per_direction(0);
     assert!(without_endpoints > 140 * MIB && without_endpoints < 180 * MIB);
@@ -17,7 +17,7 @@
 }
 
 #[test]
-fn messages_get_a_part_in_any_case() {
+fn message_memory_has_a_minimum() {
     assert_eq!(budget(32, 1024).messages_per_direction(usize::MAX), 2 * MIB);
 }
 
--- a/src/bin/edge-gateway/upstream/tests.rs
+++ b/src/bin/edge-gateway/upstream/tests.rs
@@ -166,7 +166,7 @@
     const POLLS: usize = 1_000;
     let (listener, instance) = listener().await;
     let pool = pool();
-    let held = pool.response_memory.try_reserve(RESPONSE_MEMORY).expect("the memory is free");
+    let reserved = pool.response_memory.try_reserve(RESPONSE_MEMORY).expect("the memory is free");
     let tasks = tokio::task::LocalSet::new();
     tasks.spawn_local(serve(listener, Rc::default()));
     tasks
@@ -181,7 +181,7 @@
                 _ = &mut attempt => panic!("there is no memory for the response"),
                 () = polls => {}
             }
-            drop(held);
+            drop(reserved);
             assert_eq!(attempt.await.outcome, Outcome::Success);
         })
         .await;
--- a/tests/message_memory.rs
+++ b/tests/message_memory.rs
@@ -105,7 +105,7 @@
 
 // A connection kept a copy of the longest response that it had carried, for as long as it stayed open.
 #[test]
-fn idle_connections_keep_no_copy_of_long_responses() {
+fn idle_connections_keep_no_copy_of_responses() {
     const CLIENTS: usize = 100;
     const BODY_LENGTH: usize = 64 << 10;
     let endpoint = StubEndpoint::start(|request| match request.request_id() {
