--- a/lab/src/memory.rs
+++ b/lab/src/memory.rs
@@ -62,7 +62,8 @@
     memory_above_idle_kb: u64,
     /// Peak resident memory, in KB.
     peak_memory_kb: u64,
-    /// Bytes of all long messages that were sent to the node, and [`MAX_OVERHEAD_KB`] for each connection, in KB.
+    /// Bytes of all long messages that were sent to the node, and [`MAX_OVERHEAD_KB`] for each connection, in
+    /// KB.
     max_memory_kb: u64,
     long: Outcomes,
     background: Outcomes,
@@ -132,7 +133,8 @@
     cases
 }
 
-/// Starts a node, has its clients or its endpoints hold back the last byte of each message, and releases them.
+/// Starts a node, has its clients or its endpoints hold back the last byte of each message, and releases
+/// them.
 fn measure(case: &Case, sizes: &MemorySizes, seed: u64) -> Result<Measurement, MemoryError> {
     let endpoint = PausingEndpoint::start(case.direction, case.body_length, case.piece_length)?;
     let list = endpoint_list_json(1, ENDPOINTS, ZONES, &[endpoint.address]);
@@ -170,8 +172,8 @@
     })
 }
 
-/// Sends the requests of all clients. Returns their outcomes, and how many bytes of long messages were sent to
-/// the node.
+/// Sends the requests of all clients. Returns their outcomes, and how many bytes of long messages were sent
+/// to the node.
 fn send_concurrent_requests(
     case: &Case,
     sizes: &MemorySizes,
--- a/lab/src/memory/client.rs
+++ b/lab/src/memory/client.rs
@@ -60,8 +60,8 @@
         Ok(Self { clients, written: 0, started_at })
     }
 
-    /// Writes all requests but for their last bytes, in turn: `max_pieces` pieces of this length at the most, and
-    /// the rest at once.
+    /// Writes all requests but for their last bytes, in turn: `max_pieces` pieces of this length at the most,
+    /// and the rest at once.
     pub fn write_in_pieces(&mut self, piece_length: usize, max_pieces: usize) -> io::Result<()> {
         let length = self.clients.iter().map(|(_, request)| request.len()).min().unwrap_or(1) - 1;
         for piece in 0..=max_pieces {
--- a/src/bin/edge-gateway/client/request.rs
+++ b/src/bin/edge-gateway/client/request.rs
@@ -57,8 +57,8 @@
 }
 
 impl RequestError {
-    /// Whether the connection must be closed behind the response: the request was not read to its end, so that
-    /// the start of the next one is unknown.
+    /// Whether the connection must be closed behind the response: the request was not read to its end, so
+    /// that the start of the next one is unknown.
     pub fn requires_close(&self) -> bool {
         !matches!(self, RequestError::MemoryExhausted)
     }
