Limit the number of customer records by the memory of the node

Cause: an exact record is created for each request that exceeds its customer's slice or whose plan has a ceiling, forwarded or not, and is kept for 6 s at least. Their number had no limit, and the memory budget did not count them.

Change: CustomerTable holds at most Settings::max_tracked_customers records, which the node derives from memory_mb. A full table drops records of customers for which nothing was forwarded, then those longest unseen, never one that a ceiling depends on. Where all are such, a request that needs a further record is rejected. Below the limit decisions are the same.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -12,6 +12,7 @@
 //! its quota is used up, it is flagged for the lifetime of the report.
 
 mod customer;
+mod customer_table;
 mod initial_ceiling;
 mod share;
 mod token_bucket;
@@ -21,9 +22,9 @@
 
 use crate::interface::{AttemptResult, IncomingRequest, Millis, Outcome, Settings};
 use customer::Customer;
+use customer_table::CustomerTable;
 use initial_ceiling::InitialCeiling;
 use share::AdmissionShare;
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use token_bucket::CustomerBuckets;
 use traffic_fraction::TrafficFraction;
@@ -40,6 +41,15 @@
     CeilingReached,
 }
 
+/// The estimated usage of a request's customer at this gateway.
+#[derive(Clone, Copy, Debug)]
+struct EstimatedUsage {
+    /// Units that this gateway has recently forwarded for the customer.
+    estimate: f64,
+    /// Whether the estimate and the request together exceed this gateway's even slice of the burst.
+    exceeds_slice: bool,
+}
+
 /// Checks requests against the quotas and ceilings of their customers' plans.
 pub(crate) struct AdmissionController {
     settings: Arc<Settings>,
@@ -47,7 +57,7 @@
     plan_usage: Vec<PlanUsage>,
     /// Exact records of the tracked customers: those that were flagged, were reported above their rate, or
     /// have a ceiling.
-    customers: BTreeMap<Arc<str>, Customer>,
+    customers: CustomerTable,
     initial_ceiling: InitialCeiling,
 }
 
@@ -55,7 +65,8 @@
     /// Creates a controller that has counted no request; `rng` seeds the hashes of its usage counts.
     pub(crate) fn new(settings: Arc<Settings>, rng: &mut fastrand::Rng) -> Self {
         let plan_usage = settings.plans.iter().map(|_| PlanUsage::new(rng)).collect();
-        Self { settings, plan_usage, customers: BTreeMap::new(), initial_ceiling: InitialCeiling::default() }
+        let customers = CustomerTable::new(settings.max_tracked_customers);
+        Self { settings, plan_usage, customers, initial_ceiling: InitialCeiling::default() }
     }
 
     /// Records the time at which the gateway starts, from which ceiling buckets fill.
@@ -78,15 +89,21 @@
     ) -> Admission {
         let at_limit = self.at_concurrency_limit(request, plan_index);
         let mut admission = if at_limit { Admission::OverQuota } else { Admission::WithinQuota };
-        let exceeds_slice = self.check_usage_estimate(request, plan_index, now, rng);
+        let usage = self.check_usage_estimate(request, plan_index, now);
+        let has_ceiling = self.settings.plans[plan_index].ceiling_rate > 0.0;
+        // Other customers get no record, so that requests from many customers cannot fill the memory.
+        let needs_record = usage.exceeds_slice || has_ceiling;
+        if needs_record && !self.ensure_tracked(request, plan_index, usage.estimate, now, rng) {
+            return if has_ceiling { Admission::CeilingReached } else { Admission::OverQuota };
+        }
         let plan = &self.settings.plans[plan_index];
         let Some(customer) = self.customers.get_mut(&request.customer) else { return admission };
         customer.record_arrival(plan, now);
-        if exceeds_slice || (plan.rate > 0.0 && customer.is_flagged_by_report(now)) {
+        if usage.exceeds_slice || (plan.rate > 0.0 && customer.is_flagged_by_report(now)) {
             admission = customer.check_quota(request, plan, admission, now);
         }
         // Checks only this gateway's slice of the ceiling, so that gateways need not coordinate.
-        if plan.ceiling_rate > 0.0 && !customer.ceiling_allows(request.units) {
+        if has_ceiling && !customer.ceiling_allows(request.units) {
             return Admission::CeilingReached;
         }
         admission
@@ -135,8 +152,7 @@
 
     /// Drops the records of customers whose buckets have refilled and whose last usage report has expired.
     pub(crate) fn prune_customers(&mut self, now: Millis) {
-        let plans = &self.settings.plans;
-        self.customers.retain(|_, customer| !customer.is_expired(&plans[customer.plan_index()], now));
+        self.customers.prune(&self.settings.plans, now);
     }
 
     fn at_concurrency_limit(&self, request: &IncomingRequest, plan_index: usize) -> bool {
@@ -148,28 +164,21 @@
         )
     }
 
-    /// Returns whether a request and its customer's usage estimate together exceed this gateway's even slice
-    /// of the burst, which flags the customer for this request. Creates the exact record of a customer that
-    /// is flagged or has a ceiling, if it has none.
+    /// Estimates the usage of a request's customer, and checks whether it exceeds this gateway's even slice of
+    /// the burst together with the request, which flags the customer for this request.
     fn check_usage_estimate(
         &mut self,
         request: &IncomingRequest,
         plan_index: usize,
         now: Millis,
-        rng: &mut fastrand::Rng,
-    ) -> bool {
+    ) -> EstimatedUsage {
         let plan = &self.settings.plans[plan_index];
-        let has_ceiling = plan.ceiling_rate > 0.0;
-        let (mut usage_estimate, mut exceeds_slice) = (0.0, false);
-        if plan.rate > 0.0 {
-            usage_estimate = self.plan_usage[plan_index].recent_usage(&request.customer, plan, now);
-            exceeds_slice = usage_estimate + request.units > plan.burst / f64::from(request.gateway_spread);
+        if plan.rate <= 0.0 {
+            return EstimatedUsage { estimate: 0.0, exceeds_slice: false };
         }
-        // Other customers get no record, so that requests from many customers cannot fill the memory.
-        if exceeds_slice || has_ceiling {
-            self.ensure_tracked(request, plan_index, usage_estimate, now, rng);
-        }
-        exceeds_slice
+        let estimate = self.plan_usage[plan_index].recent_usage(&request.customer, plan, now);
+        let exceeds_slice = estimate + request.units > plan.burst / f64::from(request.gateway_spread);
+        EstimatedUsage { estimate, exceeds_slice }
     }
 
     /// Processes a usage report: the customer's usage at all gateways in the last period, in `percent` of the
@@ -185,7 +194,7 @@
         let plan = &self.settings.plans[plan_index];
         let Some(period) = self.settings.usage_report_period.filter(|_| plan.rate > 0.0) else { return };
         // Such usage may stay within the even slice at each gateway, and then only reports show it.
-        if percent > 100.0 && !self.customers.contains_key(&request.customer) {
+        if percent > 100.0 && !self.customers.contains(&request.customer) {
             let usage_estimate = self.plan_usage[plan_index].recent_usage(&request.customer, plan, now);
             self.ensure_tracked(request, plan_index, usage_estimate, now, rng);
         }
@@ -205,6 +214,7 @@
     }
 
     /// Creates the exact record of the request's customer, based on its usage estimate, if it has none.
+    /// Returns whether it has one: not if the maximum number of records is reached and all are needed.
     fn ensure_tracked(
         &mut self,
         request: &IncomingRequest,
@@ -212,9 +222,12 @@
         usage_estimate: f64,
         now: Millis,
         rng: &mut fastrand::Rng,
-    ) {
-        if self.customers.contains_key(&request.customer) {
-            return;
+    ) -> bool {
+        if self.customers.contains(&request.customer) {
+            return true;
+        }
+        if !self.customers.make_room(&self.settings.plans, now) {
+            return false;
         }
         let plan = &self.settings.plans[plan_index];
         let spread = f64::from(request.gateway_spread);
@@ -224,5 +237,6 @@
         let buckets = CustomerBuckets::new(plan, usage_estimate, traffic.fraction(), ceiling, now);
         let customer = Customer::new(plan_index, spread, traffic, share, buckets, now);
         self.customers.insert(request.customer.clone(), customer);
+        true
     }
 }
--- a/src/admission/customer.rs
+++ b/src/admission/customer.rs
@@ -7,6 +7,17 @@
 use super::Admission;
 use crate::interface::{IncomingRequest, Millis, Plan};
 
+/// What is lost if a record is dropped before it has expired, least first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum RecordValue {
+    /// At most some credit: no request of the customer was forwarded, and no usage report has come.
+    Unused,
+    /// What usage reports have shown, and usage older than the usage estimate covers.
+    QuotaUsage,
+    /// Usage under a ceiling, which must not be exceeded.
+    CeilingUsage,
+}
+
 /// The exact record of one customer: its token buckets, its last usage report, and what is derived from it.
 #[derive(Clone, Debug)]
 pub(super) struct Customer {
@@ -20,6 +31,8 @@
     share: AdmissionShare,
     traffic: TrafficFraction,
     buckets: CustomerBuckets,
+    /// Whether a request of the customer was forwarded since the record was created.
+    has_forwarded: bool,
 }
 
 impl Customer {
@@ -33,13 +46,41 @@
         now: Millis,
     ) -> Self {
         let (last_seen_at, flagged_until) = (now, f64::NEG_INFINITY);
-        Self { plan_index, spread, last_seen_at, flagged_until, report: None, share, traffic, buckets }
+        let (report, has_forwarded) = (None, false);
+        Self {
+            plan_index,
+            spread,
+            last_seen_at,
+            flagged_until,
+            report,
+            share,
+            traffic,
+            buckets,
+            has_forwarded,
+        }
     }
 
     pub(super) fn plan_index(&self) -> usize {
         self.plan_index
     }
 
+    /// When the last request of the customer arrived, or the record was created.
+    pub(super) fn last_seen_at(&self) -> Millis {
+        self.last_seen_at
+    }
+
+    /// What is lost if the record is dropped now.
+    pub(super) fn value(&self, plan: &Plan, now: Millis) -> RecordValue {
+        let uses_ceiling = plan.ceiling_rate > 0.0 && self.has_forwarded;
+        if uses_ceiling && !self.buckets.is_ceiling_full_at(plan, self.spread, now) {
+            RecordValue::CeilingUsage
+        } else if self.has_forwarded || self.report.is_some() {
+            RecordValue::QuotaUsage
+        } else {
+            RecordValue::Unused
+        }
+    }
+
     /// Records the arrival of a request, and refills the buckets up to `now`.
     pub(super) fn record_arrival(&mut self, plan: &Plan, now: Millis) {
         self.last_seen_at = now;
@@ -85,6 +126,7 @@
 
     /// Takes the units of a forwarded request from the ceiling bucket and, within quota, from the local one.
     pub(super) fn record_request(&mut self, units: f64, admission: Admission) {
+        self.has_forwarded = true;
         self.buckets.ceiling.take(units);
         if admission == Admission::WithinQuota {
             self.buckets.local.take(units / self.traffic.fraction());
--- a/src/admission/token_bucket.rs
+++ b/src/admission/token_bucket.rs
@@ -96,4 +96,10 @@
         self.local.refill(seconds * plan.rate, plan.burst);
         self.ceiling.refill(seconds * plan.ceiling_rate / spread, plan.ceiling_burst / spread);
     }
+
+    /// Whether the ceiling bucket will be full at `now` if nothing more is taken from it.
+    pub(super) fn is_ceiling_full_at(&self, plan: &Plan, spread: f64, now: Millis) -> bool {
+        let seconds = (now - self.refilled_at) / 1000.0;
+        self.ceiling.tokens() + seconds * plan.ceiling_rate / spread >= plan.ceiling_burst / spread
+    }
 }
--- a/src/bin/edge-gateway/main.rs
+++ b/src/bin/edge-gateway/main.rs
@@ -68,15 +68,16 @@
         let configuration = load_with_retry()?;
         let descriptors = DescriptorBudget::new(configuration.max_descriptors);
         let budget = MemoryBudget::new(configuration.max_memory, descriptors);
-        let gateway = new_gateway(&configuration, budget.descriptors())?;
+        let gateway = new_gateway(&configuration, budget)?;
         serve(configuration, budget, gateway, signals).await
     })
 }
 
-fn new_gateway(configuration: &Configuration, budget: DescriptorBudget) -> Result<Gateway, SettingsError> {
+fn new_gateway(configuration: &Configuration, budget: MemoryBudget) -> Result<Gateway, SettingsError> {
     let settings = Settings {
         connection_quarantine: CONNECTION_QUARANTINE.as_secs_f64() * 1000.0,
-        max_connections: u32::try_from(budget.pooled).ok(),
+        max_connections: u32::try_from(budget.descriptors().pooled).ok(),
+        max_tracked_customers: Some(budget.tracked_customers()),
         max_clock_error: MAX_CLOCK_ERROR,
         ..configuration.settings.clone()
     };
--- a/src/bin/edge-gateway/memory_budget.rs
+++ b/src/bin/edge-gateway/memory_budget.rs
@@ -1,11 +1,11 @@
-//! Divides the node's memory between endpoints, connections and messages.
+//! Divides the node's memory between endpoints, connections, records of customers and messages.
 
 use crate::descriptor_budget::DescriptorBudget;
 use crate::io::memory_pool::MemoryPool;
 use crate::telemetry::metrics::MessageKind;
 
-/// Memory of a node without endpoints, connections and messages, in bytes: program, runtime, timers, metrics
-/// and the records of customers.
+/// Memory of a node without endpoints, connections, customers and messages, in bytes: program, runtime,
+/// timers and metrics.
 const FIXED_MEMORY: usize = 12 << 20;
 /// Memory of one client connection besides the bodies of its messages, in bytes: its task, hyper's buffers
 /// and the head of a request.
@@ -14,6 +14,12 @@
 const MEMORY_PER_UPSTREAM_CONNECTION: usize = 48 << 10;
 /// Maximum memory in bytes that one endpoint uses, reached while a complete list replaces another.
 pub const MEMORY_PER_ENDPOINT: usize = 900;
+/// Maximum memory in bytes of the exact record of one customer.
+const MEMORY_PER_CUSTOMER: usize = 600;
+/// Divisor of the node's memory: the records of customers may use one part in this many.
+const CUSTOMER_DIVISOR: usize = 32;
+/// Minimum limit on the number of records of customers.
+const MIN_TRACKED_CUSTOMERS: usize = 1024;
 /// Divisor of the node's memory: upstream connections may use one part in this many.
 const UPSTREAM_DIVISOR: usize = 4;
 /// Divisor of the node's memory: messages get one part in this many at least, even if connections and
@@ -42,11 +48,17 @@
         self.descriptors
     }
 
+    /// Maximum number of customers of which the gateway may keep exact records.
+    pub fn tracked_customers(&self) -> usize {
+        (self.max_bytes / CUSTOMER_DIVISOR / MEMORY_PER_CUSTOMER).max(MIN_TRACKED_CUSTOMERS)
+    }
+
     /// Memory in bytes for the messages of each of the two directions, with this many endpoints.
     pub fn messages_per_direction(&self, endpoints: usize) -> usize {
         let DescriptorBudget { client, upstream, .. } = self.descriptors;
         let others = [
             FIXED_MEMORY,
+            self.tracked_customers().saturating_mul(MEMORY_PER_CUSTOMER),
             client.saturating_mul(MEMORY_PER_CLIENT_CONNECTION),
             upstream.saturating_mul(MEMORY_PER_UPSTREAM_CONNECTION),
             endpoints.saturating_mul(MEMORY_PER_ENDPOINT),
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -50,6 +50,9 @@
     pub connection_quarantine: Millis,
     /// Maximum number of connections to endpoints that are kept open; `None` for no limit.
     pub max_connections: Option<u32>,
+    /// Maximum number of customers of which exact records are kept; `None` for no limit. If it is reached, and
+    /// all records are needed to keep ceilings, requests of further customers that need one are rejected.
+    pub max_tracked_customers: Option<usize>,
     /// Largest error, in either direction, of the start times of endpoints, which come from wall clocks that
     /// may step.
     pub max_clock_error: Millis,
@@ -85,6 +88,7 @@
             idle_timeout: None,
             connection_quarantine: 0.0,
             max_connections: None,
+            max_tracked_customers: None,
             max_clock_error: 0.0,
             slow_start_initial_capacity: 0.0,
             slow_start_duration: 0.0,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -18,4 +18,5 @@
 mod slow_start;
 mod slow_start_fleet;
 mod subset;
+mod tracked_customers;
 mod usage_reports;
