Drop the hedge of a request that has ended, and set one timer for all hedges

Cause: HedgeSchedule held requests by id and knew nothing of their end, and each forward set a timer of its own.

Change: an attempt knows when it may be hedged, and removing a request removes its hedges; a timer is set only if no earlier one is. Which requests are hedged and when is the same otherwise; there are fewer timer actions.

--- a/src/gateway/completion.rs
+++ b/src/gateway/completion.rs
@@ -36,7 +36,15 @@
             }
         }
         if request.attempts_in_flight() == 0 {
-            self.requests.remove(id);
+            self.remove_request(id);
+        }
+    }
+
+    /// Removes a request that has ended, with all that is scheduled for it.
+    fn remove_request(&mut self, id: &RequestId) {
+        let Some(request) = self.requests.remove(id) else { return };
+        for hedge_at in request.attempts.iter().filter_map(|attempt| attempt.hedge_at) {
+            self.hedge_schedule.remove(hedge_at, id);
         }
     }
 
@@ -58,7 +66,7 @@
             return self.forward(id, candidate, actions);
         }
         self.answer_failed(id, &request, actions);
-        self.requests.remove(id);
+        self.remove_request(id);
     }
 
     /// Selects the endpoint for a retry; `None` if no retry is allowed, or none is expected to be in time.
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -1,6 +1,6 @@
 //! Forwarding of an attempt, and the decision how long to wait for its response.
 
-use super::{Gateway, RESPONSE_DELIVERY_MARGIN, WAKE_UP_TOKEN};
+use super::{Gateway, RESPONSE_DELIVERY_MARGIN};
 use crate::attempt_policy::AttemptState;
 use crate::interface::{Action, Idempotency, Millis, RequestId};
 use crate::load_balancing::Candidate;
@@ -33,11 +33,12 @@
                 forwarded_at: self.now,
                 state: AttemptState::InFlight,
                 expected_concurrency: candidate.expected_concurrency,
+                hedge_at: schedule.hedge_at,
             });
         }
         if let Some(at) = schedule.hedge_at {
             self.hedge_schedule.insert(at, id);
-            actions.push(Action::SetTimer { token: WAKE_UP_TOKEN, at });
+            self.set_hedge_timer(actions);
         }
         let (request, endpoint) = (id.clone(), candidate.endpoint);
         actions.push(Action::Forward { request, endpoint, timeout_at: schedule.timeout_at });
--- a/src/request.rs
+++ b/src/request.rs
@@ -55,4 +55,6 @@
     pub(crate) state: AttemptState,
     /// Expected number of other requests in flight at the endpoint when the attempt was forwarded.
     pub(crate) expected_concurrency: f64,
+    /// When the request may be hedged if the attempt is still in flight then; `None` if it may not.
+    pub(crate) hedge_at: Option<Millis>,
 }
--- a/tests/gateway/hedging.rs
+++ b/tests/gateway/hedging.rs
@@ -58,3 +58,39 @@
     assert!((600.0..1_000.0).contains(&hedged_after), "hedged after {hedged_after} ms");
     assert!(fired <= 16, "{fired} timers in 10 s");
 }
+
+// Each request left its hedge and a timer behind until the time at which it would have been hedged, although
+// it had ended long before: memory that followed the number of requests.
+#[test]
+fn finished_requests_leave_no_timers() {
+    let settings = Settings { hedging: true, ..settings_with_quota(10_000.0, 10_000.0) };
+    let mut harness = Harness::new(settings, endpoints(9));
+    let mut timers = 0;
+    for n in 0..500 {
+        let now = f64::from(n);
+        let (request, actions) = harness.receive(now, "read", "a");
+        assert!(is_forwarded(&actions));
+        timers += actions.iter().filter(|action| matches!(action, Action::SetTimer { .. })).count();
+        harness.finish(now + 0.5, &request, 0, Outcome::Success);
+    }
+    assert!(timers <= 1, "{timers} timers");
+}
+
+// The hedge of an earlier request of the same id applied to the next one, which was hedged too early.
+#[test]
+fn hedge_of_ended_request_does_not_apply_to_next_one_of_same_id() {
+    let settings = Settings { hedging: true, ..settings() };
+    let mut harness = Harness::new(settings, endpoints(9));
+    let start = 1_000.0;
+    assert!(is_forwarded(&harness.receive_request(start, incoming("same", "a", start))));
+    harness.handle(start + 300.0, Event::ClientDisconnected { request: "same".into() });
+    harness.finish(start + 300.0, &"same".into(), 0, Outcome::Cancelled);
+    let second = start + 500.0;
+    assert!(is_forwarded(&harness.receive_request(second, incoming("same", "a", second))));
+    // The first one would have been hedged between 600 and 1,000 ms after its start.
+    for n in 0..5 {
+        let now = second + 100.0 * f64::from(n);
+        assert!(!is_forwarded(&harness.tick(now)), "hedged {} ms after the request", now - second);
+    }
+    assert!((5..=10).any(|n| is_forwarded(&harness.tick(second + 100.0 * f64::from(n)))));
+}
