Spread what ceilings hold at the start of a fleet over the time without usage reports

Cause: each process that had four responses without a usage report took the fleet for new and filled its buckets to a half. Any amount that a process gets at once is too much after enough restarts. One restart was enough where the fleet had waited for its first request, since buckets refilled while the common one was full.

Change: CeilingBucket gets its slice of a full bucket evenly over the time until the first report (the period and 2 s), as far as responses show that there was none. That time is shared by all processes. Refill at times when the common bucket may have been full is taken off, and the time before the first request counts for 0.1 s at most.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -11,9 +11,10 @@
 //! exceed the even slice of the burst, the customer is flagged for that request. If a usage report shows that
 //! its quota is used up, it is flagged for the lifetime of the report.
 
+mod ceiling_bucket;
 mod customer;
 mod customer_table;
-mod initial_ceiling;
+mod fleet_start;
 mod share;
 mod token_bucket;
 mod traffic_fraction;
@@ -23,7 +24,7 @@
 use crate::interface::{AttemptResult, IncomingRequest, Millis, Outcome, Settings};
 use customer::Customer;
 use customer_table::CustomerTable;
-use initial_ceiling::InitialCeiling;
+use fleet_start::FleetStart;
 use share::AdmissionShare;
 use std::sync::Arc;
 use token_bucket::CustomerBuckets;
@@ -58,7 +59,7 @@
     /// Exact records of the tracked customers: those that were flagged, were reported above their rate, or
     /// have a ceiling.
     customers: CustomerTable,
-    initial_ceiling: InitialCeiling,
+    fleet_start: FleetStart,
 }
 
 impl AdmissionController {
@@ -66,12 +67,13 @@
     pub(crate) fn new(settings: Arc<Settings>, rng: &mut fastrand::Rng) -> Self {
         let plan_usage = settings.plans.iter().map(|_| PlanUsage::new(rng)).collect();
         let customers = CustomerTable::new(settings.max_tracked_customers);
-        Self { settings, plan_usage, customers, initial_ceiling: InitialCeiling::default() }
+        let fleet_start = FleetStart::new(settings.usage_report_period);
+        Self { settings, plan_usage, customers, fleet_start }
     }
 
-    /// Records the time at which the gateway starts, from which ceiling buckets fill.
+    /// Records the time at which the gateway starts.
     pub(crate) fn set_started_at(&mut self, now: Millis) {
-        self.initial_ceiling.set_started_at(now);
+        self.fleet_start.set_started_at(now);
     }
 
     /// Number of customers that have an exact record.
@@ -87,6 +89,7 @@
         now: Millis,
         rng: &mut fastrand::Rng,
     ) -> Admission {
+        self.fleet_start.record_request(now);
         let at_limit = self.at_concurrency_limit(request, plan_index);
         let mut admission = if at_limit { Admission::OverQuota } else { Admission::WithinQuota };
         let usage = self.check_usage_estimate(request, plan_index, now);
@@ -98,7 +101,7 @@
         }
         let plan = &self.settings.plans[plan_index];
         let Some(customer) = self.customers.get_mut(&request.customer) else { return admission };
-        customer.record_arrival(plan, now);
+        customer.record_arrival(plan, &self.fleet_start, now);
         if usage.exceeds_slice || (plan.rate > 0.0 && customer.is_flagged_by_report(now)) {
             admission = customer.check_quota(request, plan, admission, now);
         }
@@ -140,12 +143,14 @@
         self.plan_usage[plan_index].attempt_finished(&request.customer);
         match result.usage_percent {
             Some(percent) => {
-                self.initial_ceiling.record_report();
+                self.fleet_start.record_report();
                 self.record_usage_report(request, plan_index, percent, now, rng);
             }
             // An unusable report still shows that the meter is running.
-            None if result.has_usage_report => self.initial_ceiling.record_report(),
-            None if result.outcome == Outcome::Success => self.record_response_without_report(),
+            None if result.has_usage_report => self.fleet_start.record_report(),
+            None if result.outcome == Outcome::Success => {
+                self.fleet_start.record_response_without_report(now - result.elapsed);
+            }
             None => {}
         }
     }
@@ -203,16 +208,6 @@
         }
     }
 
-    /// Processes a successful response without a usage report. If it shows that the whole fleet has just
-    /// started, the ceiling buckets are partly filled.
-    fn record_response_without_report(&mut self) {
-        let reports_enabled = self.settings.usage_report_period.is_some();
-        let Some(fill) = self.initial_ceiling.record_response_without_report(reports_enabled) else { return };
-        for customer in self.customers.values_mut() {
-            customer.fill_ceiling(fill, &self.settings.plans[customer.plan_index()]);
-        }
-    }
-
     /// Creates the exact record of the request's customer, based on its usage estimate, if it has none.
     /// Returns whether it has one: not if the maximum number of records is reached and all are needed.
     fn ensure_tracked(
@@ -233,8 +228,9 @@
         let spread = f64::from(request.gateway_spread);
         let traffic = TrafficFraction::new(plan, spread);
         let share = AdmissionShare::new(&self.settings, plan, spread, traffic.fraction(), rng);
-        let ceiling = self.initial_ceiling.tokens(plan, now) / spread;
-        let buckets = CustomerBuckets::new(plan, usage_estimate, traffic.fraction(), ceiling, now);
+        let fleet_start = &self.fleet_start;
+        let buckets =
+            CustomerBuckets::new(plan, spread, usage_estimate, traffic.fraction(), fleet_start, now);
         let customer = Customer::new(plan_index, spread, traffic, share, buckets, now);
         self.customers.insert(request.customer.clone(), customer);
         true
--- a/src/admission/customer.rs
+++ b/src/admission/customer.rs
@@ -1,5 +1,6 @@
 //! The exact record of a tracked customer. The parent module defines which customers are tracked or flagged.
 
+use super::fleet_start::FleetStart;
 use super::share::AdmissionShare;
 use super::token_bucket::CustomerBuckets;
 use super::traffic_fraction::TrafficFraction;
@@ -72,7 +73,7 @@
     /// What is lost if the record is dropped now.
     pub(super) fn value(&self, plan: &Plan, now: Millis) -> RecordValue {
         let uses_ceiling = plan.ceiling_rate > 0.0 && self.has_forwarded;
-        if uses_ceiling && !self.buckets.is_ceiling_full_at(plan, self.spread, now) {
+        if uses_ceiling && !self.buckets.ceiling.is_full_at(plan, self.spread, now) {
             RecordValue::CeilingUsage
         } else if self.has_forwarded || self.report.is_some() {
             RecordValue::QuotaUsage
@@ -82,9 +83,9 @@
     }
 
     /// Records the arrival of a request, and refills the buckets up to `now`.
-    pub(super) fn record_arrival(&mut self, plan: &Plan, now: Millis) {
+    pub(super) fn record_arrival(&mut self, plan: &Plan, fleet_start: &FleetStart, now: Millis) {
         self.last_seen_at = now;
-        self.buckets.refill(plan, self.spread, now);
+        self.buckets.refill(plan, self.spread, fleet_start, now);
     }
 
     /// Whether a usage report has shown that the customer's quota is used up, and has not expired since.
@@ -118,12 +119,6 @@
         self.buckets.ceiling.tokens() >= units
     }
 
-    /// Adds tokens to the ceiling bucket: `fraction` of the bucket's capacity.
-    pub(super) fn fill_ceiling(&mut self, fraction: f64, plan: &Plan) {
-        let capacity = plan.ceiling_burst / self.spread;
-        self.buckets.ceiling.refill(fraction * capacity, capacity);
-    }
-
     /// Takes the units of a forwarded request from the ceiling bucket and, within quota, from the local one.
     pub(super) fn record_request(&mut self, units: f64, admission: Admission) {
         self.has_forwarded = true;
--- a/src/admission/customer_table.rs
+++ b/src/admission/customer_table.rs
@@ -46,11 +46,6 @@
         self.records.get_mut(customer)
     }
 
-    /// Returns all records.
-    pub(super) fn values_mut(&mut self) -> impl Iterator<Item = &mut Customer> {
-        self.records.values_mut()
-    }
-
     /// Adds a record, for which [`make_room`](Self::make_room) has made room.
     pub(super) fn insert(&mut self, customer: Arc<str>, record: Customer) {
         self.records.insert(customer, record);
--- a/src/admission/token_bucket.rs
+++ b/src/admission/token_bucket.rs
@@ -1,5 +1,7 @@
 //! Token buckets of a customer. Rates and capacities stay in the plan, to keep customer records small.
 
+use super::ceiling_bucket::CeilingBucket;
+use super::fleet_start::FleetStart;
 use crate::interface::{Millis, Plan};
 
 /// A bucket of units that refills up to a capacity. The request that empties it may overdraw it.
@@ -66,40 +68,35 @@
     pub(super) local: TokenBucket,
     /// Bucket of the whole quota, drained by the usage in usage reports.
     pub(super) metered: MeteredBucket,
-    /// Bucket of this gateway's slice of the ceiling.
-    pub(super) ceiling: TokenBucket,
+    /// This gateway's slice of the bucket of the ceiling.
+    pub(super) ceiling: CeilingBucket,
     refilled_at: Millis,
 }
 
 impl CustomerBuckets {
     /// The buckets of a customer, based on its usage estimate at this gateway and the gateway's fraction of
-    /// the customer's traffic. `ceiling` is the initial number of tokens in the ceiling bucket.
+    /// the customer's traffic.
     pub(super) fn new(
         plan: &Plan,
+        spread: f64,
         usage_estimate: f64,
         traffic_fraction: f64,
-        ceiling: f64,
+        fleet_start: &FleetStart,
         now: Millis,
     ) -> Self {
         Self {
             local: TokenBucket::new((plan.burst - usage_estimate / traffic_fraction).max(0.0)),
             metered: MeteredBucket::new((plan.burst - usage_estimate).max(0.0)),
-            ceiling: TokenBucket::new(ceiling),
+            ceiling: CeilingBucket::new(plan, spread, fleet_start, now),
             refilled_at: now,
         }
     }
 
     /// Refills the local and the ceiling bucket for the time from their last refill to `now`.
-    pub(super) fn refill(&mut self, plan: &Plan, spread: f64, now: Millis) {
+    pub(super) fn refill(&mut self, plan: &Plan, spread: f64, fleet_start: &FleetStart, now: Millis) {
         let seconds = (now - self.refilled_at) / 1000.0;
         self.refilled_at = now;
         self.local.refill(seconds * plan.rate, plan.burst);
-        self.ceiling.refill(seconds * plan.ceiling_rate / spread, plan.ceiling_burst / spread);
-    }
-
-    /// Whether the ceiling bucket will be full at `now` if nothing more is taken from it.
-    pub(super) fn is_ceiling_full_at(&self, plan: &Plan, spread: f64, now: Millis) -> bool {
-        let seconds = (now - self.refilled_at) / 1000.0;
-        self.ceiling.tokens() + seconds * plan.ceiling_rate / spread >= plan.ceiling_burst / spread
+        self.ceiling.refill(plan, spread, fleet_start, now);
     }
 }
