Count long heads as message memory, and limit client connections by memory

Cause: heads were not counted, and the number of client connections did not follow the memory.

upstream_connections_are_fewer_where_memory_is_short asserted that client connections do not depend on memory, which is a part of the fault. It asserts their exact number at 32 MiB now, that they fit their part, and that 256 descriptors are not affected.

--- a/src/bin/edge-gateway/client/request.rs
+++ b/src/bin/edge-gateway/client/request.rs
@@ -5,15 +5,22 @@
 use crate::client::request_head::{RequestHeadError, RequestHeadParser};
 use crate::dispatcher::{ClientRequest, UpstreamRequest};
 use crate::io::body::{self, BodyError, ReserveMemory};
-use crate::io::memory_pool::MemoryPool;
+use crate::io::memory_pool::{MemoryPool, Reservation};
 use crate::upstream::MAX_BODY_SIZE;
 use bytes::Bytes;
 use edge_gateway::{duration_from_millis, Millis};
 use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderName};
+use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, StatusCode};
+use std::time::Duration;
 use tokio::time::{timeout, Instant};
 
+/// Memory of a head that each connection may take without a reservation, in bytes; more than usual heads take.
+const USUAL_HEAD_SIZE: usize = 4 << 10;
+/// Memory that each header of a request takes besides the bytes of its name and value.
+const MEMORY_PER_HEADER: usize = 128;
+
 /// The reason why a request is not passed to the dispatcher. The message is the body of the response.
 #[derive(Debug, thiserror::Error)]
 pub enum RequestError {
@@ -32,7 +39,7 @@
     /// The body was not complete within [`REQUEST_TIMEOUT`] or the client's deadline.
     #[error("the body did not come in time")]
     BodyTimeout,
-    /// There was no memory left for the body, which was read to its end and discarded.
+    /// There was no memory left for the request, which was read to its end and discarded.
     #[error("refused; nothing was run")]
     MemoryExhausted,
     /// The client disconnected after its request was complete and before it was passed on.
@@ -90,7 +97,8 @@
     (request_line + headers) as u64 + request.body().size_hint().exact().unwrap_or(0)
 }
 
-/// Reads the rest of a request whose head hyper has read. Its body takes its memory from `memory`.
+/// Reads the rest of a request whose head hyper has read. Its body, and a long head, take their memory from
+/// `memory`.
 ///
 /// [`REQUEST_TIMEOUT`] runs from `reading_since`, the client's deadline from `received_at`, when the end of
 /// the head arrived.
@@ -114,34 +122,59 @@
     if parts.method == Method::GET && !body.is_end_stream() {
         return Err(RequestError::UnexpectedBody);
     }
+    let time_left =
+        duration_from_millis(head.timeout).min(REQUEST_TIMEOUT.saturating_sub(reading_since.elapsed()));
+    let Some(head_memory) = reserve_for_head(memory, &parts) else {
+        drop(parts);
+        discard_body(body, time_left).await?;
+        return Err(RequestError::MemoryExhausted);
+    };
     let body = match body.is_end_stream() {
         true => Bytes::new(),
-        false => read_body(body, memory, head.timeout, reading_since).await?,
+        false => read_body(body, memory, time_left).await?,
     };
     let upstream_request = UpstreamRequest {
         method: parts.method,
         uri: parts.uri,
         headers: end_to_end_headers(parts.headers),
         body,
+        _head_memory: head_memory,
     };
     Ok(ClientRequest { deadline: received_at + head.timeout, head, upstream_request })
 }
 
-/// Reads a body, for at most `client_timeout` and until [`REQUEST_TIMEOUT`] after `reading_since`.
-async fn read_body(
-    body: Incoming,
-    memory: &MemoryPool,
-    client_timeout: Millis,
-    reading_since: Instant,
-) -> Result<Bytes, RequestError> {
-    let time_left =
-        duration_from_millis(client_timeout).min(REQUEST_TIMEOUT.saturating_sub(reading_since.elapsed()));
+/// Reserves the memory of a head beyond [`USUAL_HEAD_SIZE`]; `None` if not as much is left.
+fn reserve_for_head(memory: &MemoryPool, head: &Parts) -> Option<Reservation> {
+    let header_size =
+        |(name, value): (&HeaderName, &HeaderValue)| MEMORY_PER_HEADER + name.as_str().len() + value.len();
+    let headers: usize = head.headers.iter().map(header_size).sum();
+    let uri = head.uri.path_and_query().map_or(0, |path| path.as_str().len());
+    let reservation = memory.try_reserve((headers + uri).saturating_sub(USUAL_HEAD_SIZE));
+    if reservation.is_none() {
+        memory.record_exhausted();
+    }
+    reservation
+}
+
+/// Reads a body, for at most `time_left`.
+async fn read_body(body: Incoming, memory: &MemoryPool, time_left: Duration) -> Result<Bytes, RequestError> {
     match timeout(time_left, body::read_body(body, MAX_BODY_SIZE, memory, ReserveMemory::AsRead)).await {
         Err(_) => Err(RequestError::BodyTimeout),
         Ok(body) => Ok(body?),
     }
 }
 
+/// Reads a body without keeping it, for at most `time_left`.
+async fn discard_body(body: Incoming, time_left: Duration) -> Result<(), RequestError> {
+    if body.size_hint().lower() > MAX_BODY_SIZE as u64 {
+        return Err(RequestError::BodyTooLarge);
+    }
+    match timeout(time_left, body::discard(body)).await {
+        Err(_) => Err(RequestError::BodyTimeout),
+        Ok(discarded) => discarded.map_err(RequestError::Connection),
+    }
+}
+
 /// Returns the headers to forward: all except the hop-by-hop headers and `Content-Length`.
 fn end_to_end_headers(mut headers: HeaderMap) -> HeaderMap {
     let connection_options: Vec<HeaderName> = headers
--- a/src/bin/edge-gateway/descriptor_budget.rs
+++ b/src/bin/edge-gateway/descriptor_budget.rs
@@ -45,9 +45,10 @@
         Self { client: available - upstream, upstream, pooled: POOLED_FRACTION.of(upstream) }
     }
 
-    /// Lowers the number of upstream connections to `max_upstream`.
-    pub fn with_max_upstream(self, max_upstream: usize) -> Self {
+    /// Lowers the number of client connections to `max_client`, and of upstream connections to `max_upstream`.
+    pub fn limited_to(self, max_client: usize, max_upstream: usize) -> Self {
         let upstream = self.upstream.min(max_upstream);
-        Self { upstream, pooled: self.pooled.min(POOLED_FRACTION.of(upstream)), ..self }
+        let pooled = self.pooled.min(POOLED_FRACTION.of(upstream));
+        Self { client: self.client.min(max_client), upstream, pooled }
     }
 }
--- a/src/bin/edge-gateway/dispatcher/message.rs
+++ b/src/bin/edge-gateway/dispatcher/message.rs
@@ -1,6 +1,7 @@
 //! The forms of a request: as received from a client, as passed to the gateway, and as sent to an endpoint.
 
 use crate::client::request_head::RequestHead;
+use crate::io::memory_pool::Reservation;
 use bytes::Bytes;
 use edge_gateway::{IncomingRequest, Millis};
 use http_body_util::Full;
@@ -44,6 +45,8 @@
     pub headers: HeaderMap,
     /// The complete body; empty if there is none.
     pub body: Bytes,
+    /// The memory of the headers, as far as it is reserved.
+    pub _head_memory: Reservation,
 }
 
 impl UpstreamRequest {
--- a/src/bin/edge-gateway/io/body.rs
+++ b/src/bin/edge-gateway/io/body.rs
@@ -70,7 +70,10 @@
 }
 
 /// Reads the rest of a body without keeping it.
-async fn discard(mut body: Incoming) -> Result<(), hyper::Error> {
+///
+/// # Errors
+/// If the connection fails before the end of the body, or its framing is malformed.
+pub async fn discard(mut body: Incoming) -> Result<(), hyper::Error> {
     while let Some(frame) = body.frame().await {
         frame?;
     }
--- a/src/bin/edge-gateway/memory_budget.rs
+++ b/src/bin/edge-gateway/memory_budget.rs
@@ -8,7 +8,7 @@
 /// timers and metrics.
 const FIXED_MEMORY: usize = 12 << 20;
 /// Memory of one client connection besides the bodies of its messages, in bytes: its task, hyper's buffers
-/// and the head of a request.
+/// and a head of usual size.
 const MEMORY_PER_CLIENT_CONNECTION: usize = 24 << 10;
 /// The same of one upstream connection, which may read long responses in long pieces.
 const MEMORY_PER_UPSTREAM_CONNECTION: usize = 48 << 10;
@@ -20,6 +20,8 @@
 const CUSTOMER_DIVISOR: usize = 32;
 /// Minimum limit on the number of records of customers.
 const MIN_TRACKED_CUSTOMERS: usize = 1024;
+/// Number of eighths of the node's memory that client connections may use.
+const CLIENT_EIGHTHS: usize = 3;
 /// Divisor of the node's memory: upstream connections may use one part in this many.
 const UPSTREAM_DIVISOR: usize = 4;
 /// Divisor of the node's memory: messages get one part in this many at least, even if connections and
@@ -38,12 +40,13 @@
 impl MemoryBudget {
     /// Creates the budget of a node that may use `max_bytes`, and the connections that `descriptors` allows.
     pub fn new(max_bytes: usize, descriptors: DescriptorBudget) -> Self {
+        let max_client = max_bytes / 8 * CLIENT_EIGHTHS / MEMORY_PER_CLIENT_CONNECTION;
         let max_upstream = max_bytes / UPSTREAM_DIVISOR / MEMORY_PER_UPSTREAM_CONNECTION;
-        Self { max_bytes, descriptors: descriptors.with_max_upstream(max_upstream.max(1)) }
+        Self { max_bytes, descriptors: descriptors.limited_to(max_client.max(1), max_upstream.max(1)) }
     }
 
-    /// The descriptors that the node may use. Where memory is short, there are fewer for upstream connections
-    /// than the limit on descriptors allows.
+    /// The descriptors that the node may use. Where memory is short, there are fewer for connections than the
+    /// limit on descriptors allows.
     pub fn descriptors(&self) -> DescriptorBudget {
         self.descriptors
     }
--- a/src/bin/edge-gateway/memory_budget/tests.rs
+++ b/src/bin/edge-gateway/memory_budget/tests.rs
@@ -22,11 +22,13 @@
 }
 
 #[test]
-fn upstream_connections_are_fewer_where_memory_is_short() {
+fn connections_are_fewer_where_memory_is_short() {
     let descriptors = DescriptorBudget::new(1024);
     assert_eq!(budget(192, 1024).descriptors(), descriptors);
+    assert_eq!(budget(32, 256).descriptors(), DescriptorBudget::new(256));
     let limited = budget(32, 1024).descriptors();
     assert!(limited.upstream * MEMORY_PER_UPSTREAM_CONNECTION <= 32 * MIB / UPSTREAM_DIVISOR);
     assert!(limited.upstream < descriptors.upstream && limited.pooled < limited.upstream);
-    assert_eq!(limited.client, descriptors.client);
+    assert_eq!(limited.client, 512);
+    assert!(limited.client * MEMORY_PER_CLIENT_CONNECTION <= 32 * MIB / 8 * CLIENT_EIGHTHS);
 }
