Answer requests of less than one unit with an error

Operators report the like: small or unsound requests on one connection keep others from their answers.

Cause: parse_quota_terms took any units above 0, and the service time is learned per unit.

--- a/src/bin/edge-gateway/client/request_head.rs
+++ b/src/bin/edge-gateway/client/request_head.rs
@@ -26,6 +26,8 @@
 /// Header that is `1` if the request is a retry by the client.
 const RETRY_HEADER: &str = "req-retry";
 
+/// Minimum units of a request. What is learned per unit would be far off after a request of fewer.
+const MIN_UNITS: f64 = 1.0;
 /// Maximum length of a request id, in bytes; far more than clients use.
 const MAX_ID_LENGTH: usize = 64;
 /// Maximum length of an idempotency key, in bytes.
@@ -100,7 +102,7 @@
     pub plan_name: Arc<str>,
     /// The customer's number, in lower-case hexadecimal digits.
     pub customer: Arc<str>,
-    /// Units that the request takes from the customer's quota; more than 0.
+    /// Units that the request takes from the customer's quota; at least [`MIN_UNITS`].
     pub units: f64,
     /// Number of nodes that the customer's requests may use.
     pub gateway_spread: u32,
@@ -215,7 +217,7 @@
         let spread = spread.filter(|spread| spread.fract() == 0.0 && (1.0..=nodes).contains(spread))?;
         // `first` is checked, but not used.
         first.filter(|first| first.fract() == 0.0 && *first < nodes)?;
-        let in_range = units > 0.0 && units <= self.limits.max_units;
+        let in_range = (MIN_UNITS..=self.limits.max_units.max(MIN_UNITS)).contains(&units);
         in_range.then_some(QuotaTerms { units, gateway_spread: spread as u32 })
     }
 }
--- a/tests/bad_clients.rs
+++ b/tests/bad_clients.rs
@@ -43,6 +43,8 @@
         valid.replace("units=1", "units=inf"),
         valid.replace("units=1", "units=nan"),
         valid.replace("units=1", "units=0"),
+        valid.replace("units=1", "units=0.0001"),
+        valid.replace("units=1", "units=0.999"),
         valid.replace("units=1", "units=5"),
         valid.replace("units=1", "units=1,units=2"),
         valid.replace("spread=1", "spread=0"),
--- a/tests/request_flood.rs
+++ b/tests/request_flood.rs
@@ -3,7 +3,9 @@
 
 mod support;
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::io::Write;
+use std::net::Shutdown;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 use support::*;
@@ -16,6 +18,8 @@
 const FLOODING_CLIENTS: usize = 4;
 /// Number of requests that a client sends at once; they fit into what the node reads ahead.
 const REQUESTS_AT_ONCE: usize = 200;
+/// How long a client sends without waiting for answers.
+const CONTINUOUS_FLOOD_TIME: Duration = Duration::from_secs(2);
 /// Longest time that another client may wait for its answer.
 const MAX_RESPONSE_TIME: Duration = Duration::from_millis(1_500);
 /// Pause between two requests of the usual client.
@@ -48,32 +52,50 @@
     }
 }
 
-/// Floods the node with `count` requests while a usual client sends one after another. Each of those must be
-/// served in time, and the node must stay within its memory.
+/// Floods the node with `count` requests, and asserts what [`assert_serves_others`] does.
 fn assert_withstands_flood(node: &Node, count: usize, request: impl Fn(usize) -> String + Sync) {
-    let (next, is_over) = (AtomicUsize::new(0), AtomicBool::new(false));
-    thread::scope(|scope| {
-        let usual = scope.spawn(|| {
-            let mut slowest = Duration::ZERO;
-            let mut number = 0;
-            while !is_over.load(Ordering::Relaxed) {
-                let id = format!("usual{number}");
-                let sent = Instant::now();
-                assert_eq!(node.send(&request_with("read", &id, "large", "15000m")).body, id.as_bytes());
-                slowest = slowest.max(sent.elapsed());
-                number += 1;
-                thread::sleep(USUAL_INTERVAL);
+    let next = AtomicUsize::new(0);
+    assert_serves_others(node, || {
+        thread::scope(|scope| {
+            for _ in 0..FLOODING_CLIENTS {
+                scope.spawn(|| flood(node, &next, count, &request));
             }
-            slowest
         });
-        let floods: Vec<_> =
-            (0..FLOODING_CLIENTS).map(|_| scope.spawn(|| flood(node, &next, count, &request))).collect();
-        for flood in floods {
-            flood.join().expect("a flooding client failed");
+    });
+}
+
+/// Sends the same input again and again on one connection, without waiting for answers, for
+/// [`CONTINUOUS_FLOOD_TIME`]. Opens a new connection whenever the node closes it.
+fn flood_continuously(node: &Node, input: &[u8]) {
+    let end = Instant::now() + CONTINUOUS_FLOOD_TIME;
+    while Instant::now() < end {
+        let client = node.connect();
+        let stream = client.stream.get_ref();
+        stream.set_write_timeout(Some(CONTINUOUS_FLOOD_TIME)).expect("failed to set the write timeout");
+        thread::scope(|scope| {
+            scope.spawn(|| std::io::copy(&mut &*stream, &mut std::io::sink()));
+            while Instant::now() < end && (&*stream).write_all(input).is_ok() {}
+            let _ = stream.shutdown(Shutdown::Both);
+        });
+    }
+}
+
+/// Runs `flood` while a usual client sends one request after another. Each of those must be served in time,
+/// also the one after the flood, and the node must stay within its memory.
+fn assert_serves_others(node: &Node, flood: impl FnOnce() + Send) {
+    thread::scope(|scope| {
+        let flood = scope.spawn(flood);
+        let mut number = 0;
+        let mut is_over = false;
+        while !is_over {
+            is_over = flood.is_finished();
+            let id = format!("usual{number}");
+            let sent = Instant::now();
+            assert_eq!(node.send(&request_with("read", &id, "large", "15000m")).body, id.as_bytes());
+            assert!(sent.elapsed() <= MAX_RESPONSE_TIME, "{id} took {:?}", sent.elapsed());
+            number += 1;
+            thread::sleep(USUAL_INTERVAL);
         }
-        is_over.store(true, Ordering::Relaxed);
-        let slowest = usual.join().expect("the usual client failed");
-        assert!(slowest <= MAX_RESPONSE_TIME, "a usual request took {slowest:?}");
     });
     let memory_kib = node.peak_memory_kib();
     assert!(memory_kib <= u64::from(MEMORY_MB) << 10, "{memory_kib} KiB");
@@ -123,3 +145,31 @@
         }
     });
 }
+
+// Reported from other deployments: one client that sends small or invalid requests on one connection, as fast
+// as it can, kept others from their answers.
+#[test]
+fn one_client_at_full_speed_delays_no_others() {
+    let (_endpoint, _discovery, node) = start_small_node(SETTINGS);
+    let health_checks = HEALTH_CHECK.repeat(REQUESTS_AT_ONCE);
+    let rejected = request_of_small_customer(1, 4, "60m").repeat(REQUESTS_AT_ONCE);
+    let served = request("read", "same").repeat(REQUESTS_AT_ONCE);
+    let invalid = request("read", "same").replace("units=1", "units=9").repeat(REQUESTS_AT_ONCE);
+    let empty_lines = "\r\n".repeat(REQUESTS_AT_ONCE);
+    let tiny = request("read", "same").replace("units=1", "units=0.0001").repeat(REQUESTS_AT_ONCE);
+    let noise = "noise\r\n\r\n".repeat(REQUESTS_AT_ONCE);
+    let texts = [rejected, served, invalid, tiny, empty_lines, noise];
+    for input in texts.iter().map(|text| text.as_bytes()).chain([&*health_checks]) {
+        assert_serves_others(&node, || flood_continuously(&node, input));
+    }
+}
+
+// A single request of far less than a unit was served, and taught the node that requests take minutes: it
+// rejected all others of the class from then on.
+#[test]
+fn requests_of_tiny_units_teach_the_node_nothing() {
+    let (_endpoint, _discovery, node) = start_small_node(SETTINGS);
+    let tiny = request("read", "tiny").replace("units=1", "units=0.0001");
+    assert_eq!(node.send(&tiny).status(), 400);
+    assert_serves_others(&node, || ());
+}
