Notice that a client has closed its connection behind unread input

Callers of other deployments saw: requests of a client that wrote much at once and left were sent on afterwards.

Cause: the close was looked for by a peek, which sees it only if no input is unread before it.

Change: the node asks the system for the event of the close, before a request is passed on and when one is abandoned.

Not mended: beyond the receive buffer of the system, some 128 KiB, the close has not arrived; with 700, 2,000 and 6,000 requests one was still sent on.

--- a/src/bin/edge-gateway/client/handler.rs
+++ b/src/bin/edge-gateway/client/handler.rs
@@ -115,9 +115,9 @@
         let received_at = self.dispatcher.now() - stream.received_at().elapsed().as_secs_f64() * 1000.0;
         let request =
             read_request(&self.head_parser, &self.memory, request, reading_since, received_at).await?;
-        // The client may have disconnected without tokio having reported it yet, and a pooled connection
-        // would send the request to an endpoint at once.
-        if stream.is_at_eof() {
+        // The client may have disconnected without tokio having reported it yet, or behind input that has not
+        // been read, and a pooled connection would send the request to an endpoint at once.
+        if stream.is_disconnected() {
             return Err(RequestError::ClientDisconnected);
         }
         connection.start_request();
--- a/src/bin/edge-gateway/io/read_ahead.rs
+++ b/src/bin/edge-gateway/io/read_ahead.rs
@@ -114,16 +114,10 @@
         !self.0.buffer.borrow().is_empty() || has_unread_data(self.0.stream.borrow().get_ref())
     }
 
-    /// Whether the client has closed its sending direction or the connection has broken, and hyper has read
-    /// all data before that.
-    pub fn is_at_eof(&self) -> bool {
-        self.0.buffer.borrow().is_empty() && self.is_disconnected()
-    }
-
-    /// Whether the client has closed its sending direction or the connection has broken, and the socket has
-    /// no unread data. The buffer need not be empty.
+    /// Whether the client has closed its sending direction or the connection has broken, even if there is
+    /// unread data before that.
     pub fn is_disconnected(&self) -> bool {
-        socket::is_at_eof(self.0.stream.borrow().get_ref())
+        socket::is_closed_by_peer(self.0.stream.borrow().get_ref())
     }
 
     /// Returns the number of bytes that hyper has read so far.
--- a/tests/client_disconnect.rs
+++ b/tests/client_disconnect.rs
@@ -229,3 +229,36 @@
         assert!(deadline_ms <= limit_ms, "at most {limit_ms} ms expected: {deadline_ms} ms");
     }
 }
+
+// Reported from other deployments: a client wrote much at once and left, and its requests were sent on
+// afterwards, because the end of its input was behind what had not been read.
+#[test]
+fn does_not_forward_for_client_that_left_much_unread() {
+    for unread_requests in [40, 400] {
+        let endpoint = StubEndpoint::start(|_| Reply::ok("done"));
+        let node = Node::with_endpoints(&[endpoint.entry("a")]);
+        assert_eq!(node.send(&request("order", "before")).status(), 200);
+        let mut reused = node.connect();
+        assert_eq!(reused.send(&request("read", "reused")).status(), 200);
+        let requests: String = (0..unread_requests).map(|n| request("order", &format!("left-{n}"))).collect();
+        let mut addresses = Vec::new();
+        let mut half_closed = Vec::new();
+        node.while_stopped(|| {
+            for (mut client, half_closes) in
+                [(node.connect(), false), (node.connect(), true), (reused, false)]
+            {
+                client.write(requests.as_bytes());
+                client.finish_sending();
+                addresses.push(client.address());
+                half_closed.extend(half_closes.then_some(client));
+            }
+        });
+        for address in addresses {
+            wait_until_closed(&node, address);
+        }
+        assert_eq!(node.send(&request("order", "after")).status(), 200);
+        let requests = endpoint.requests();
+        let forwarded: Vec<_> = requests.iter().map(HttpMessage::request_id).collect();
+        assert_eq!(forwarded, ["before", "reused", "after"], "{unread_requests} requests unread");
+    }
+}
