Do not execute a request again whose id comes back after its client has left

Callers of other deployments saw: an id ran twice when it came again after its client had left.

Cause: a cancelled attempt ends its request, and only ids of open requests were checked.

--- a/src/bin/edge-gateway/client/handler.rs
+++ b/src/bin/edge-gateway/client/handler.rs
@@ -132,7 +132,7 @@
         stream: &ReadAheadStream,
     ) -> Result<Answer, RequestError> {
         let id = request.head.id.clone();
-        let answer = self.dispatcher.receive_request(request).ok_or(RequestError::DuplicateId)?;
+        let answer = self.dispatcher.receive_request(request)?;
         // When the client disconnects, this future is dropped, and the guard with it.
         let mut guard = DisconnectGuard { dispatcher: &self.dispatcher, stream, open_request: Some(id) };
         let answer = answer.await;
--- a/src/bin/edge-gateway/client/request.rs
+++ b/src/bin/edge-gateway/client/request.rs
@@ -3,7 +3,7 @@
 
 use crate::client::connection::REQUEST_TIMEOUT;
 use crate::client::request_head::{RequestHeadError, RequestHeadParser};
-use crate::dispatcher::{ClientRequest, UpstreamRequest};
+use crate::dispatcher::{ClientRequest, DuplicateRequest, UpstreamRequest};
 use crate::io::body::{self, BodyError, ReserveMemory};
 use crate::io::memory_pool::{MemoryPool, Reservation};
 use crate::upstream::MAX_BODY_SIZE;
@@ -48,6 +48,9 @@
     /// Another request with the same id is open.
     #[error("a request of this id is open")]
     DuplicateId,
+    /// Another request with the same id may have been executed, and must not be executed again.
+    #[error("a request of this id may have been executed")]
+    AlreadyExecuted,
     /// The connection broke before the request was complete, so that there is no response.
     #[error(transparent)]
     Connection(hyper::Error),
@@ -63,6 +66,15 @@
     }
 }
 
+impl From<DuplicateRequest> for RequestError {
+    fn from(duplicate: DuplicateRequest) -> Self {
+        match duplicate {
+            DuplicateRequest::Pending => RequestError::DuplicateId,
+            DuplicateRequest::MayHaveBeenExecuted => RequestError::AlreadyExecuted,
+        }
+    }
+}
+
 impl RequestError {
     /// Whether the connection must be closed behind the response: the request was not read to its end, so
     /// that the start of the next one is unknown.
@@ -77,7 +89,7 @@
             RequestError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             RequestError::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             RequestError::MemoryExhausted => StatusCode::SERVICE_UNAVAILABLE,
-            RequestError::DuplicateId => StatusCode::CONFLICT,
+            RequestError::DuplicateId | RequestError::AlreadyExecuted => StatusCode::CONFLICT,
             RequestError::InvalidHead(_)
             | RequestError::UnexpectedBody
             | RequestError::ClientDisconnected
--- a/src/bin/edge-gateway/dispatcher.rs
+++ b/src/bin/edge-gateway/dispatcher.rs
@@ -6,6 +6,7 @@
 
 mod attempts;
 mod endpoints;
+mod executed_requests;
 mod message;
 mod requests;
 mod timers;
@@ -20,6 +21,7 @@
 use endpoints::EndpointTable;
 use message::incoming_request;
 pub use message::{ClientRequest, UpstreamRequest};
+pub use requests::DuplicateRequest;
 use requests::{PendingRequest, RequestTable};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -95,10 +97,10 @@
     }
 
     /// Answers a request as the gateway has decided, and removes it if none of its attempts is in flight.
-    fn answer_request(&mut self, id: &RequestId, answer: Answer) {
+    fn answer_request(&mut self, id: &RequestId, answer: Answer, now: Millis) {
         let State { requests, timers, .. } = self;
         requests.send_answer(id, answer, timers);
-        requests.remove_if_finished(id, timers);
+        requests.remove_if_finished(id, timers, now);
     }
 }
 
@@ -141,14 +143,17 @@
         self.startup_grace_ends_at.set(f64::NEG_INFINITY);
     }
 
-    /// Accepts a request and returns the receiver of its only answer. Returns `None` if a request with the
-    /// same id is pending: it would be wrong to answer both from one execution, and to execute both.
-    pub fn receive_request(self: &Rc<Self>, request: ClientRequest) -> Option<oneshot::Receiver<Answer>> {
+    /// Accepts a request and returns the receiver of its only answer.
+    ///
+    /// # Errors
+    /// If another request with the same id is pending or must not be executed again.
+    pub fn receive_request(
+        self: &Rc<Self>,
+        request: ClientRequest,
+    ) -> Result<oneshot::Receiver<Answer>, DuplicateRequest> {
         let mut state = self.state.borrow_mut();
         let ClientRequest { head, deadline, upstream_request } = request;
-        if state.requests.contains(&head.id) {
-            return None;
-        }
+        state.requests.check_id(&head.id, self.clock.now())?;
         let (answer_sender, receiver) = oneshot::channel();
         let deadline = deadline.min(state.shutdown_deadline);
         let guard = Timer::DeadlineGuard(head.id.clone());
@@ -165,7 +170,7 @@
         state.requests.insert(head.id.clone(), pending);
         state.events.push_back(Event::RequestReceived(incoming_request(head, deadline)));
         self.process_events(&mut state);
-        Some(receiver)
+        Ok(receiver)
     }
 
     /// Sets the time by which all requests, pending and later ones, are answered. Called when the node shuts
@@ -255,7 +260,7 @@
     fn close_request(self: &Rc<Self>, state: &mut State, id: &RequestId) {
         state.events.push_back(Event::ClientDisconnected { request: id.clone() });
         self.process_events(state);
-        state.requests.remove_if_finished(id, &mut state.timers);
+        state.requests.remove_if_finished(id, &mut state.timers, self.clock.now());
     }
 
     /// Passes queued events to the gateway and executes its actions until no event is left.
@@ -284,9 +289,9 @@
                     retry_after,
                     "rejected"
                 );
-                state.answer_request(&request, Answer::Rejected(retry_after));
+                state.answer_request(&request, Answer::Rejected(retry_after), self.clock.now());
             }
-            Action::Fail { request } => state.answer_request(&request, Answer::Failed),
+            Action::Fail { request } => state.answer_request(&request, Answer::Failed, self.clock.now()),
             Action::CancelAttempt { request, attempt: index } => {
                 self.abort_attempt(state, &AttemptId { request, index }, Outcome::Cancelled);
             }
--- a/src/bin/edge-gateway/dispatcher/attempts.rs
+++ b/src/bin/edge-gateway/dispatcher/attempts.rs
@@ -51,6 +51,11 @@
     pub fn has_finished(&self) -> bool {
         self.state != AttemptState::InFlight
     }
+
+    /// Whether the attempt has finished and its request may have been executed.
+    pub fn may_have_been_executed(&self) -> bool {
+        self.state == AttemptState::MayHaveExecuted
+    }
 }
 
 /// What the task of an attempt needs to run it.
@@ -212,7 +217,7 @@
             has_usage_report: end.has_usage_report,
             load: end.load,
         }));
-        requests.remove_if_finished(request, timers);
+        requests.remove_if_finished(request, timers, now);
     }
 }
 
--- a/src/bin/edge-gateway/dispatcher/requests.rs
+++ b/src/bin/edge-gateway/dispatcher/requests.rs
@@ -4,11 +4,12 @@
 //! attempt in flight. All final answers are sent from here. [`super::attempts`] starts and finishes attempts.
 
 use super::attempts::{Attempt, AttemptId};
+use super::executed_requests::ExecutedRequests;
 use super::message::UpstreamRequest;
 use super::timers::{Timer, TimerKey, TimerQueue};
 use crate::answer::Answer;
 use crate::telemetry::metrics::METRICS;
-use edge_gateway::{Millis, RequestClass, RequestId};
+use edge_gateway::{Idempotency, Millis, RequestClass, RequestId};
 use std::collections::HashMap;
 use std::rc::Rc;
 use tokio::sync::oneshot;
@@ -39,21 +40,46 @@
     fn is_finished(&self) -> bool {
         !self.awaits_answer() && self.attempts.iter().all(Attempt::has_finished)
     }
+
+    /// Whether a request with the same id must not be executed, since this one may have been.
+    fn forbids_repetition(&self) -> bool {
+        self.class.idempotency == Idempotency::NotIdempotent
+            && self.attempts.iter().any(Attempt::may_have_been_executed)
+    }
+}
+
+/// The reason why a request is not accepted: another one with the same id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DuplicateRequest {
+    /// The other one is pending. It would be wrong to answer both from one execution, and to execute both.
+    Pending,
+    /// The other one may have been executed, and must not be executed again.
+    MayHaveBeenExecuted,
 }
 
 /// The pending requests by id.
 #[derive(Default)]
 pub struct RequestTable {
     pending: HashMap<RequestId, PendingRequest>,
+    executed: ExecutedRequests,
 }
 
 impl RequestTable {
-    /// Whether a request with this id is pending.
-    pub fn contains(&self, id: &RequestId) -> bool {
-        self.pending.contains_key(id)
+    /// Checks that a request with this id can be accepted.
+    ///
+    /// # Errors
+    /// If another one with this id is pending, or may have been executed and must not be executed again.
+    pub fn check_id(&mut self, id: &RequestId, now: Millis) -> Result<(), DuplicateRequest> {
+        if self.pending.contains_key(id) {
+            Err(DuplicateRequest::Pending)
+        } else if self.executed.contains(id, now) {
+            Err(DuplicateRequest::MayHaveBeenExecuted)
+        } else {
+            Ok(())
+        }
     }
 
-    /// Adds a request. Its id must not be pending.
+    /// Adds a request. Its id must have been [checked](Self::check_id).
     pub fn insert(&mut self, id: RequestId, request: PendingRequest) {
         self.pending.insert(id, request);
     }
@@ -102,12 +128,16 @@
         }
     }
 
-    /// Removes a request if it is closed and has no attempt in flight.
-    pub fn remove_if_finished(&mut self, id: &RequestId, timers: &mut TimerQueue) {
-        if self.get(id).is_some_and(PendingRequest::is_finished) {
-            if let Some(request) = self.pending.remove(id) {
-                timers.cancel(request.deadline_guard);
-            }
+    /// Removes a request if it is closed and has no attempt in flight. Its id is kept for as long as clients
+    /// of its class may try again, if it must not be executed again.
+    pub fn remove_if_finished(&mut self, id: &RequestId, timers: &mut TimerQueue, now: Millis) {
+        if !self.get(id).is_some_and(PendingRequest::is_finished) {
+            return;
+        }
+        let Some(request) = self.pending.remove(id) else { return };
+        timers.cancel(request.deadline_guard);
+        if request.forbids_repetition() {
+            self.executed.insert(id.clone(), now + request.class.deadline, now);
         }
     }
 }
--- a/tests/client_disconnect.rs
+++ b/tests/client_disconnect.rs
@@ -262,3 +262,37 @@
         assert_eq!(forwarded, ["before", "reused", "after"], "{unread_requests} requests unread");
     }
 }
+
+// Reported from other deployments: a request that must not be repeated ran twice, because its id came again
+// after its client had left.
+#[test]
+fn does_not_execute_request_again_whose_client_left() {
+    for cancel_setting in ["\"cancel\": true", "\"cancel\": false"] {
+        let endpoint = StubEndpoint::start(|request| match request.request_id() {
+            "left" => Reply::Silence,
+            id => Reply::ok(id),
+        });
+        let discovery = StubDiscovery::with_endpoints(&[endpoint.entry("a"), endpoint.entry("b")]);
+        let settings = SETTINGS.replace("\"cancel\": true", cancel_setting);
+        let node = Node::start(&NodeConfig::with_list_of(&discovery).settings(&settings));
+        let mut client = node.connect();
+        client.write(request("order", "left").as_bytes());
+        wait_until("the attempt is in flight", || endpoint.request_count() == 1);
+        let address = client.address();
+        drop(client);
+        wait_until_closed(&node, address);
+        for _ in 0..3 {
+            let response = node.send(&request("order", "left"));
+            assert!(response.is_failure(), "{cancel_setting}: {response:?}");
+        }
+        assert_eq!(node.send(&request("order", "served")).status(), 200);
+        assert!(node.send(&request("order", "served")).is_failure());
+        let ids: Vec<String> =
+            endpoint.requests().iter().map(|request| request.request_id().to_owned()).collect();
+        assert_eq!(ids, ["left", "served"], "{cancel_setting}");
+        // Where nothing was run, and where a repetition is harmless, the id may come again.
+        for _ in 0..2 {
+            assert_eq!(node.send(&request("read", "safe")).status(), 200);
+        }
+    }
+}
