Tell a replaced process of an endpoint from the one that has gone

Callers of other deployments saw: a new process came up at the address of one that had gone and was taken for the old one.

Cause: an attempt was related to its endpoint by the id alone, and zone, cell and failures were looked up in what the list says now.

Change: an attempt keeps zone and cell of its endpoint, and results of attempts that were forwarded before the present process was seen only end them.

--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -27,9 +27,11 @@
         let attempt = request.attempts.len() as u32;
         self.load_balancer.record_attempt(&candidate, id, attempt, self.now);
         self.admission.record_attempt(&request.incoming, request.plan_index);
+        let location = self.load_balancer.location(candidate.endpoint);
         if let Some(request) = self.requests.get_mut(id) {
             request.attempts.push(Attempt {
                 endpoint: candidate.endpoint,
+                location,
                 forwarded_at: self.now,
                 state: AttemptState::InFlight,
                 expected_concurrency: candidate.expected_concurrency,
--- a/src/load_balancing.rs
+++ b/src/load_balancing.rs
@@ -20,6 +20,7 @@
 pub(crate) use feedback::FinishedAttempt;
 
 use crate::interface::{EndpointId, EndpointStatus, EndpointUpdate, Millis, RequestId, Settings};
+use crate::request::EndpointLocation;
 use concurrency_estimate::ConcurrencyEstimate;
 use endpoint::{Endpoint, InFlightAttempt};
 use service_time::ServiceTimes;
@@ -119,6 +120,12 @@
         self.service_times.record_service_time(service_time, is_first);
     }
 
+    /// Returns where an endpoint is; `None` if it is not known.
+    pub(crate) fn location(&self, id: EndpointId) -> Option<EndpointLocation> {
+        let endpoint = self.endpoints.get(&id)?;
+        Some(EndpointLocation { zone: Arc::clone(&endpoint.zone), cell: endpoint.cell })
+    }
+
     /// Records an attempt as in flight at the endpoint that was selected for it; `attempt` is its index.
     pub(crate) fn record_attempt(
         &mut self,
--- a/src/load_balancing/candidate.rs
+++ b/src/load_balancing/candidate.rs
@@ -61,13 +61,13 @@
         let SelectionContext { request, now, .. } = *context;
         let Some(earlier) = request.first_possibly_executed() else { return true };
         let class = &self.settings.classes[request.class_index];
-        let Some(earlier_endpoint) = self.endpoints.get(&earlier.endpoint) else {
+        let Some(location) = &earlier.location else {
             return class.idempotency == Idempotency::Idempotent;
         };
         let earlier = EarlierAttempt {
             sent_at: earlier.forwarded_at,
-            same_zone: earlier_endpoint.zone == endpoint.zone,
-            same_cell: earlier_endpoint.cell == endpoint.cell,
+            same_zone: location.zone == endpoint.zone,
+            same_cell: location.cell == endpoint.cell,
         };
         // An attempt starts when its connection has been established.
         let starts_by = now + self.settings.connect_timeout;
--- a/src/load_balancing/endpoint.rs
+++ b/src/load_balancing/endpoint.rs
@@ -72,6 +72,12 @@
         }
     }
 
+    /// Whether an attempt that was forwarded at `forwarded_at` went to an earlier process of the endpoint, whose
+    /// results say nothing about the present one.
+    pub(super) fn was_replaced_after(&self, forwarded_at: Millis) -> bool {
+        forwarded_at < self.slow_start.first_seen_at()
+    }
+
     /// Returns how long the endpoint has sent no response although attempts are in flight; 0 if none is.
     pub(super) fn unresponsive_for(&self, now: Millis) -> Millis {
         self.in_flight.front().map_or(0.0, |oldest| now - oldest.forwarded_at.max(self.last_response_at))
--- a/src/load_balancing/feedback.rs
+++ b/src/load_balancing/feedback.rs
@@ -25,6 +25,9 @@
         self.concurrency.attempt_finished();
         let Some(endpoint) = self.endpoints.get_mut(&attempt.endpoint) else { return };
         endpoint.in_flight.retain(|other| other.request != result.request || other.attempt != result.attempt);
+        if endpoint.was_replaced_after(attempt.forwarded_at) {
+            return;
+        }
         record_latency(finished, &mut endpoint.latency, &mut self.service_times);
         let zone_is_failing = self.zones.record(&endpoint.zone, result.outcome, now);
         if zone_is_failing && !endpoint.outlier.on_probation() {
--- a/src/load_balancing/slow_start.rs
+++ b/src/load_balancing/slow_start.rs
@@ -45,6 +45,11 @@
         Self { started_at, first_seen_at: now, last_interval: IntervalCount::default() }
     }
 
+    /// When this gateway first saw the process on the endpoint list.
+    pub(super) fn first_seen_at(&self) -> Millis {
+        self.first_seen_at
+    }
+
     pub(super) fn started_at(&self) -> Option<Millis> {
         self.started_at
     }
--- a/src/request.rs
+++ b/src/request.rs
@@ -2,6 +2,7 @@
 
 use crate::attempt_policy::AttemptState;
 use crate::interface::{EndpointId, IncomingRequest, Millis};
+use std::sync::Arc;
 
 /// A request that has been admitted and forwarded at least once.
 #[derive(Clone, Debug)]
@@ -44,11 +45,23 @@
     }
 }
 
+/// Where an endpoint is, which decides whether it shares idempotency keys with others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct EndpointLocation {
+    /// Zone of the endpoint.
+    pub(crate) zone: Arc<str>,
+    /// Cell of the endpoint.
+    pub(crate) cell: u32,
+}
+
 /// An attempt of a request: the request as forwarded to one endpoint.
 #[derive(Clone, Debug)]
 pub(crate) struct Attempt {
     /// The endpoint that was selected for the attempt.
     pub(crate) endpoint: EndpointId,
+    /// Where the endpoint's process was then; another process may have replaced it since. `None` if the
+    /// endpoint was not known.
+    pub(crate) location: Option<EndpointLocation>,
     /// When the attempt was forwarded.
     pub(crate) forwarded_at: Millis,
     /// Whether it is in flight, and whether it may have been executed.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod quota;
 mod quota_cost;
 mod random_events;
+mod replaced_processes;
 mod request_lifecycle;
 mod retries;
 mod settings_document;
--- a/tests/request_flood.rs
+++ b/tests/request_flood.rs
@@ -159,7 +159,7 @@
     let tiny = request("read", "same").replace("units=1", "units=0.0001").repeat(REQUESTS_AT_ONCE);
     let noise = "noise\r\n\r\n".repeat(REQUESTS_AT_ONCE);
     let texts = [rejected, served, invalid, tiny, empty_lines, noise];
-    for input in texts.iter().map(|text| text.as_bytes()).chain([&*health_checks]) {
+    for input in texts.iter().map(String::as_bytes).chain([&*health_checks]) {
         assert_serves_others(&node, || flood_continuously(&node, input));
     }
 }
