Send nothing to a listed process whose address has a newer one

Cause: nothing compared the addresses of entries, although an address has one process.

Change: EndpointTable takes an entry for removed while another one with its address has a later start. Entries with the same start, or none, are as before.

--- a/src/bin/edge-gateway/dispatcher/endpoints.rs
+++ b/src/bin/edge-gateway/dispatcher/endpoints.rs
@@ -7,7 +7,7 @@
 use crate::upstream::EndpointInstance;
 use edge_gateway::{
     EndpointId, EndpointList, EndpointListKind, EndpointStatus, EndpointUpdate, Event, ListedEndpoint,
-    ListedStatus,
+    ListedStatus, Millis,
 };
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -25,10 +25,30 @@
     /// The cell that the endpoint is in. Endpoints of a cell share idempotency keys.
     pub cell: u32,
     status: ListedStatus,
+    /// Whether the list has a process at the same address that started later: then this one has gone, even if
+    /// discovery has not noticed it yet.
+    is_superseded: bool,
     /// For how many endpoints this one counts in the limit on their number.
     weight: usize,
 }
 
+impl Endpoint {
+    fn is_serving(&self) -> bool {
+        self.status == ListedStatus::Serving && !self.is_superseded
+    }
+
+    /// Returns the update that tells the gateway of this endpoint.
+    fn update(&self, id: EndpointId) -> EndpointUpdate {
+        EndpointUpdate {
+            endpoint: id,
+            zone: self.zone.clone(),
+            cell: self.cell,
+            status: if self.is_superseded { EndpointStatus::Removed } else { gateway_status(self.status) },
+            started_at: known_start(self.instance.started_at),
+        }
+    }
+}
+
 /// The endpoints on the list that have an address, by id and by name.
 pub struct EndpointTable {
     /// Maximum weight of all endpoints. Changes of the list add endpoints one by one, so that the limit on
@@ -67,13 +87,12 @@
 
     /// Whether at least one endpoint is serving.
     pub fn has_serving(&self) -> bool {
-        self.endpoints.values().any(|endpoint| endpoint.status == ListedStatus::Serving)
+        self.endpoints.values().any(Endpoint::is_serving)
     }
 
     /// Whether an endpoint is serving and is still the same process at the same address.
     pub fn is_serving(&self, id: EndpointId, instance: EndpointInstance) -> bool {
-        self.get(id)
-            .is_some_and(|endpoint| endpoint.status == ListedStatus::Serving && endpoint.instance == instance)
+        self.get(id).is_some_and(|endpoint| endpoint.is_serving() && endpoint.instance == instance)
     }
 
     /// Applies a snapshot or a delta and returns the event for the gateway. Calls `close_idle` for each
@@ -85,8 +104,11 @@
         }
         let mut updates = Vec::with_capacity(list.endpoints.len());
         let mut ignored = 0;
+        let mut changed_addresses = HashSet::new();
         for listed in list.endpoints {
             let Some(id) = self.find_or_propose_id(&listed) else { continue };
+            changed_addresses.extend(listed.address);
+            changed_addresses.extend(self.get(id).map(|endpoint| endpoint.instance.address));
             if self.get(id).is_none() && self.weight + listed.weight() > self.max_weight {
                 ignored += 1;
                 continue;
@@ -104,10 +126,40 @@
             METRICS.record_discovery_result("endpoints_ignored");
             tracing::warn!(ignored, limit = self.max_weight, "endpoints ignored for lack of memory");
         }
+        self.update_superseded(&changed_addresses, &close_idle, &mut updates);
         self.release_unused_zones();
         Event::EndpointList { kind, endpoints: updates.into() }
     }
 
+    /// Finds the endpoints at `addresses` that have been superseded, or no longer are, by the process of
+    /// another one. Appends their updates.
+    fn update_superseded(
+        &mut self,
+        addresses: &HashSet<SocketAddr>,
+        close_idle: &impl Fn(EndpointId),
+        updates: &mut Vec<EndpointUpdate>,
+    ) {
+        let mut latest_start: HashMap<SocketAddr, Millis> = HashMap::new();
+        for EndpointInstance { address, started_at } in self.endpoints.values().map(|e| e.instance) {
+            if addresses.contains(&address) {
+                let latest = latest_start.entry(address).or_insert(started_at);
+                *latest = latest.max(started_at);
+            }
+        }
+        for (id, endpoint) in &mut self.endpoints {
+            let EndpointInstance { address, started_at } = endpoint.instance;
+            let Some(latest) = latest_start.get(&address) else { continue };
+            let was_superseded = endpoint.is_superseded;
+            endpoint.is_superseded = started_at < *latest;
+            if endpoint.is_superseded && !was_superseded {
+                close_idle(*id);
+            }
+            if endpoint.is_superseded || was_superseded {
+                updates.push(endpoint.update(*id));
+            }
+        }
+    }
+
     /// Removes the endpoints that are not in `listed`, the entries of a snapshot.
     fn remove_unlisted(&mut self, listed: &[ListedEndpoint], close_idle: &impl Fn(EndpointId)) {
         let names: HashSet<&str> = listed.iter().map(|endpoint| endpoint.name.as_str()).collect();
@@ -142,7 +194,15 @@
         let weight = listed.weight();
         let name: Rc<str> = listed.name.into();
         self.ids.insert(name.clone(), id);
-        let endpoint = Endpoint { name, instance, zone, cell: listed.cell, status: listed.status, weight };
+        let endpoint = Endpoint {
+            name,
+            instance,
+            zone,
+            cell: listed.cell,
+            status: listed.status,
+            is_superseded: false,
+            weight,
+        };
         self.weight += weight;
         if let Some(replaced) = self.endpoints.insert(id, endpoint) {
             self.weight -= replaced.weight;
@@ -188,15 +248,25 @@
 
 /// Converts an entry of the list to an update for the gateway.
 fn endpoint_update(endpoint: EndpointId, listed: &ListedEndpoint, zone: Arc<str>) -> EndpointUpdate {
-    let status = match listed.status {
-        // An endpoint without an address cannot be sent requests.
-        _ if listed.address.is_none() => EndpointStatus::Removed,
+    // An endpoint without an address cannot be sent requests.
+    let status = match listed.address {
+        Some(_) => gateway_status(listed.status),
+        None => EndpointStatus::Removed,
+    };
+    EndpointUpdate { endpoint, zone, cell: listed.cell, status, started_at: known_start(listed.started_at) }
+}
+
+fn gateway_status(status: ListedStatus) -> EndpointStatus {
+    match status {
         ListedStatus::Serving => EndpointStatus::Ready,
         ListedStatus::Draining => EndpointStatus::Draining,
         ListedStatus::Deleted => EndpointStatus::Removed,
-    };
-    let started_at = Some(listed.started_at).filter(|ms| *ms > 0.0);
-    EndpointUpdate { endpoint, zone, cell: listed.cell, status, started_at }
+    }
+}
+
+/// Converts the start time of a list, where 0 stands for long ago.
+fn known_start(started_at: Millis) -> Option<Millis> {
+    Some(started_at).filter(|ms| *ms > 0.0)
 }
 
 /// Returns the FNV-1a hash of an endpoint's name. Ids depend on the name only, so that all nodes use the same
--- a/src/bin/edge-gateway/dispatcher/endpoints/tests.rs
+++ b/src/bin/edge-gateway/dispatcher/endpoints/tests.rs
@@ -107,3 +107,26 @@
     update(&mut table, list(true, &[]));
     assert_eq!((table.len(), table.weight, table.interned_zones.len()), (0, 0, 0));
 }
+
+#[test]
+fn a_later_process_at_the_same_address_supersedes_a_listed_one() {
+    use EndpointStatus::{Ready, Removed};
+    use ListedStatus::{Deleted, Draining, Serving};
+    let (a, b) = (id_of_name("a"), id_of_name("b"));
+    let mut table = EndpointTable::new(1024);
+    update(&mut table, list(true, &[("a", Serving, 0.0)]));
+    // The same start time says nothing, as entries without one have the same.
+    update(&mut table, list(false, &[("b", Serving, 0.0)]));
+    assert!(table.endpoints[&a].is_serving() && table.endpoints[&b].is_serving());
+    assert_eq!(update(&mut table, list(false, &[("b", Serving, 5.0)])), (vec![Ready, Removed], vec![b, a]));
+    assert!(!table.endpoints[&a].is_serving() && table.endpoints[&b].is_serving());
+    // An entry that comes again is still superseded, also by a process that drains.
+    assert_eq!(update(&mut table, list(false, &[("a", Serving, 0.0)])).0, [Ready, Removed]);
+    assert_eq!(update(&mut table, list(false, &[("b", Draining, 5.0)])).0[1], Removed);
+    assert!(!table.has_serving());
+    assert_eq!(update(&mut table, list(true, &[("a", Serving, 0.0), ("b", Serving, 5.0)])).0.len(), 3);
+    assert!(!table.endpoints[&a].is_serving());
+    // Once the later one has left the list, the address is that of the other one again.
+    assert_eq!(update(&mut table, list(false, &[("b", Deleted, 5.0)])).0, [Removed, Ready]);
+    assert!(table.endpoints[&a].is_serving());
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod endpoint_changes;
 mod forwarding;
 mod limits;
+mod replaced_processes;
 mod retries;
 mod shutdown;
 mod slow_start;
