Give each request of a test on aborted connections an id of its own

aborted_connections_do_not_delay_others sent four requests that must not be repeated with one id, each after the last was served. Clients give each request a fresh id (Req-Id of the protocol), and the node answers 409 to the second since it does not execute such a request twice. The test asks for the same answers, times and counts as before.

--- a/tests/syscalls.rs
+++ b/tests/syscalls.rs
@@ -101,8 +101,8 @@
     let (_endpoint, node) = start_node(&faults);
     for error in [errno::ECONNABORTED, errno::EPROTO, errno::EINTR, errno::EHOSTUNREACH] {
         faults.fail_next(InjectionPoint::Accept, ABORTED, error).expect("failed to set the fault");
-        let started = Instant::now();
-        assert_eq!(node.send(&request("order", "r1")).body, b"r1");
+        let (started, id) = (Instant::now(), format!("r{error}"));
+        assert_eq!(node.send(&request("order", &id)).body, id.as_bytes());
         assert!(started.elapsed() < Duration::from_secs(1), "{error}: {:?}", started.elapsed());
         assert!(
             faults.injected_count(InjectionPoint::Accept).expect("failed to read the fault count") >= ABORTED
