--- a/tests/message_memory.rs
+++ b/tests/message_memory.rs
@@ -10,12 +10,6 @@
 /// Id of the request that is sent before the memory is measured.
 const WARM_UP: &str = "warm-up";
 
-/// Starts discovery with several entries for an endpoint, so that its expected capacity is no limit.
-fn discovery_with(endpoint: &StubEndpoint) -> StubDiscovery {
-    let entries: Vec<String> = (0..64).map(|n| endpoint.entry(&format!("e{n}"))).collect();
-    StubDiscovery::with_endpoints(&entries)
-}
-
 /// Formats a request of class `order` with a body of this length, from a customer of its own.
 fn order_with_body(number: usize, body_length: usize) -> String {
     let request = request("order", &format!("r{number}")).replace("b4d65521", &format!("b4d6{number:04x}"));
@@ -37,7 +31,7 @@
     const PIECES: usize = 100;
     const PIECE_LENGTH: usize = 200;
     let endpoint = StubEndpoint::start(|request| Reply::ok(&request.body.len().to_string()));
-    let node = Node::start(&NodeConfig::with_list_of(&discovery_with(&endpoint)));
+    let node = Node::start(&NodeConfig::with_list_of(&StubDiscovery::with_many_entries(&endpoint)));
     let memory_before = warm_memory_kib(&node);
     let requests: Vec<String> =
         (0..CLIENTS).map(|number| order_with_body(number, PIECES * PIECE_LENGTH)).collect();
@@ -83,7 +77,7 @@
         response.extend(b"1\r\nx\r\n".repeat(BODY_LENGTH));
         Reply::Paused(response, endpoint_barrier.clone(), b"0\r\n\r\n")
     });
-    let node = Node::start(&NodeConfig::with_list_of(&discovery_with(&endpoint)));
+    let node = Node::start(&NodeConfig::with_list_of(&StubDiscovery::with_many_entries(&endpoint)));
     let memory_before = warm_memory_kib(&node);
     let mut clients = node.connect_many(RESPONSES);
     for (number, client) in clients.iter_mut().enumerate() {
@@ -112,7 +106,7 @@
         WARM_UP => Reply::ok("x"),
         _ => Reply::ok(&"x".repeat(BODY_LENGTH)),
     });
-    let node = Node::start(&NodeConfig::with_list_of(&discovery_with(&endpoint)));
+    let node = Node::start(&NodeConfig::with_list_of(&StubDiscovery::with_many_entries(&endpoint)));
     let memory_before = warm_memory_kib(&node);
     let mut clients = node.connect_many(CLIENTS);
     for (number, client) in clients.iter_mut().enumerate() {
@@ -145,7 +139,7 @@
 fn requests_beyond_the_memory_limit_are_rejected() {
     const BODY_LENGTH: usize = 64 << 10;
     let endpoint = StubEndpoint::start(|request| Reply::ok(&request.body.len().to_string()));
-    let node = start_small_node(&discovery_with(&endpoint), 1024);
+    let node = start_small_node(&StubDiscovery::with_many_entries(&endpoint), 1024);
     let mut clients = node.connect_many(MANY_CLIENTS);
     for (number, client) in clients.iter_mut().enumerate() {
         let request = order_with_body(number, BODY_LENGTH);
--- a/tests/request_flood.rs
+++ b/tests/request_flood.rs
@@ -28,8 +28,7 @@
 /// Starts a node with the least memory before an endpoint that serves everything at once.
 fn start_small_node(settings: &str) -> (StubEndpoint, StubDiscovery, Node) {
     let endpoint = StubEndpoint::start(|request| Reply::ok(request.request_id()));
-    let entries: Vec<String> = (0..64).map(|n| endpoint.entry(&format!("e{n}"))).collect();
-    let discovery = StubDiscovery::with_endpoints(&entries);
+    let discovery = StubDiscovery::with_many_entries(&endpoint);
     let config = NodeConfig::with_list_of(&discovery).settings(settings);
     let node = Node::start(&config.memory_mb(MEMORY_MB).sockets(DESCRIPTORS));
     (endpoint, discovery, node)
--- a/tests/stalled_clients.rs
+++ b/tests/stalled_clients.rs
@@ -33,8 +33,7 @@
             USUAL => Reply::ok(USUAL),
             _ => Reply::Silence,
         });
-        let entries: Vec<String> = (0..64).map(|n| endpoint.entry(&format!("e{n}"))).collect();
-        let discovery = StubDiscovery::with_endpoints(&entries);
+        let discovery = StubDiscovery::with_many_entries(&endpoint);
         let config = NodeConfig::with_list_of(&discovery).memory_mb(memory_mb).sockets(descriptors);
         let mut node = Node::start(&config);
         let inputs: Vec<String> = (0..CLIENTS).map(&input).collect();
--- a/tests/support/stub_discovery.rs
+++ b/tests/support/stub_discovery.rs
@@ -2,6 +2,7 @@
 
 use super::http::{read_message, HttpMessage};
 use super::sockets::{is_closed_by_peer, write_endlessly};
+use super::stub_endpoint::StubEndpoint;
 use super::wait::wait_until;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -87,6 +88,13 @@
         Self::start(snapshot(1, entries))
     }
 
+    /// Starts an agent that serves a list with many entries of one endpoint, so that the capacity that the node
+    /// expects of each is no limit.
+    pub fn with_many_entries(endpoint: &StubEndpoint) -> Self {
+        let entries: Vec<String> = (0..64).map(|n| endpoint.entry(&format!("e{n}"))).collect();
+        Self::with_endpoints(&entries)
+    }
+
     /// Starts an agent that serves a list.
     pub fn start(list: String) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("failed to bind a loopback port");
