--- a/src/admission.rs
+++ b/src/admission.rs
@@ -169,8 +169,8 @@
         )
     }
 
-    /// Estimates the usage of a request's customer, and checks whether it exceeds this gateway's even slice of
-    /// the burst together with the request, which flags the customer for this request.
+    /// Estimates the usage of a request's customer, and checks whether it exceeds this gateway's even slice
+    /// of the burst together with the request, which flags the customer for this request.
     fn check_usage_estimate(
         &mut self,
         request: &IncomingRequest,
--- a/src/admission/ceiling_bucket.rs
+++ b/src/admission/ceiling_bucket.rs
@@ -2,9 +2,9 @@
 //!
 //! The common bucket starts full and is never known: an earlier process of this gateway may have emptied it
 //! just before this one started. So the slice starts empty. It refills at its part of the ceiling's rate, and
-//! gets [startup units](FleetStart::startup_units) if the fleet has just started. Both must not add up to more
-//! than the common bucket holds, which gets nothing while it is full: startup units are therefore reduced by
-//! the refill that the slice got while the common bucket may have been full.
+//! gets [startup units](FleetStart::startup_units) if the fleet has just started. Both must not add up to
+//! more than the common bucket holds, which gets nothing while it is full: startup units are therefore
+//! reduced by the refill that the slice got while the common bucket may have been full.
 
 use super::fleet_start::FleetStart;
 use crate::interface::{Millis, Plan};
--- a/src/admission/fleet_start.rs
+++ b/src/admission/fleet_start.rs
@@ -12,8 +12,9 @@
 const FRESH_FLEET_RESPONSES: u32 = 4;
 /// Longest usual time from the end of a metered period to the arrival of its first report, in milliseconds.
 const MAX_REPORT_DELAY: Millis = 2_000.0;
-/// Longest time before the first request for which ceiling buckets refill, in milliseconds. A fleet that waits
-/// longer for its first request has full buckets, and a process that restarts then would refill them again.
+/// Longest time before the first request for which ceiling buckets refill, in milliseconds. A fleet that
+/// waits longer for its first request has full buckets, and a process that restarts then would refill them
+/// again.
 const MAX_REFILL_BEFORE_REQUESTS: Millis = 100.0;
 
 /// Whether the fleet may have just started, and until when it had no usage reports.
@@ -81,8 +82,8 @@
         self.started_at.clamp(first_request_at - MAX_REFILL_BEFORE_REQUESTS, first_request_at)
     }
 
-    /// Units that the buckets of a customer at all gateways together get beyond their refill for the time from
-    /// `since` to [`report_free_until`](Self::report_free_until).
+    /// Units that the buckets of a customer at all gateways together get beyond their refill, for the time
+    /// from `since` to [`report_free_until`](Self::report_free_until).
     pub(super) fn startup_units(&self, plan: &Plan, since: Millis) -> f64 {
         let Some(report_free_time) = self.max_report_free_time else { return 0.0 };
         plan.ceiling_burst * (self.report_free_until() - since).max(0.0) / report_free_time
--- a/src/bin/edge-gateway/client/request.rs
+++ b/src/bin/edge-gateway/client/request.rs
@@ -16,7 +16,8 @@
 use std::time::Duration;
 use tokio::time::{timeout, Instant};
 
-/// Memory of a head that each connection may take without a reservation, in bytes; more than usual heads take.
+/// Memory of a head that each connection may take without a reservation, in bytes; more than usual heads
+/// take.
 const USUAL_HEAD_SIZE: usize = 4 << 10;
 /// Memory that each header of a request takes besides the bytes of its name and value.
 const MEMORY_PER_HEADER: usize = 128;
--- a/src/bin/edge-gateway/descriptor_budget.rs
+++ b/src/bin/edge-gateway/descriptor_budget.rs
@@ -45,7 +45,8 @@
         Self { client: available - upstream, upstream, pooled: POOLED_FRACTION.of(upstream) }
     }
 
-    /// Lowers the number of client connections to `max_client`, and of upstream connections to `max_upstream`.
+    /// Lowers the number of client connections to `max_client`, and of upstream connections to
+    /// `max_upstream`.
     pub fn limited_to(self, max_client: usize, max_upstream: usize) -> Self {
         let upstream = self.upstream.min(max_upstream);
         let pooled = self.pooled.min(POOLED_FRACTION.of(upstream));
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -50,8 +50,8 @@
     pub connection_quarantine: Millis,
     /// Maximum number of connections to endpoints that are kept open; `None` for no limit.
     pub max_connections: Option<u32>,
-    /// Maximum number of customers of which exact records are kept; `None` for no limit. If it is reached, and
-    /// all records are needed to keep ceilings, requests of further customers that need one are rejected.
+    /// Maximum number of customers of which exact records are kept; `None` for no limit. If it is reached,
+    /// and all records are needed to keep ceilings, requests of further customers that need one are rejected.
     pub max_tracked_customers: Option<usize>,
     /// Largest error, in either direction, of the start times of endpoints, which come from wall clocks that
     /// may step.
--- a/src/load_balancing/endpoint.rs
+++ b/src/load_balancing/endpoint.rs
@@ -72,8 +72,8 @@
         }
     }
 
-    /// Whether an attempt that was forwarded at `forwarded_at` went to an earlier process of the endpoint, whose
-    /// results say nothing about the present one.
+    /// Whether an attempt that was forwarded at `forwarded_at` went to an earlier process of the endpoint,
+    /// whose results say nothing about the present one.
     pub(super) fn was_replaced_after(&self, forwarded_at: Millis) -> bool {
         forwarded_at < self.slow_start.first_seen_at()
     }
